--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,124 @@
+// Package peer connects daemons with each other over gRPC.
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
+)
+
+// Limits of a peer connection.
+const (
+	MaxMessageBytes  = 8 << 20
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+)
+
+// Pool keeps one connection for each peer address. Connections that were not
+// used for idleTimeout are closed by CloseIdle.
+type Pool struct {
+	idleTimeout time.Duration
+	now         func() time.Time
+	options     []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*pooledConn
+}
+
+type pooledConn struct {
+	conn     *grpc.ClientConn
+	lastUsed time.Time
+}
+
+// NewPool returns a pool. options are added to the defaults, for example
+// transport credentials.
+func NewPool(idleTimeout time.Duration, now func() time.Time, options ...grpc.DialOption) *Pool {
+	return &Pool{
+		idleTimeout: idleTimeout,
+		now:         now,
+		options:     append(defaultOptions(), options...),
+		conns:       make(map[string]*pooledConn),
+	}
+}
+
+func defaultOptions() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithNoProxy(),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(MaxMessageBytes),
+			grpc.MaxCallSendMsgSize(MaxMessageBytes),
+		),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:    keepaliveTime,
+			Timeout: keepaliveTimeout,
+		}),
+	}
+}
+
+// Client returns a client for the peer at address (ip:port).
+func (p *Pool) Client(address string) (peerv1.PeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[address]
+	if !ok {
+		// The passthrough scheme keeps gRPC from resolving names.
+		conn, err := grpc.NewClient("passthrough:///"+address, p.options...)
+		if err != nil {
+			return nil, errors.Wrapf(err, "create connection to peer %s", address)
+		}
+		c = &pooledConn{conn: conn}
+		p.conns[address] = c
+	}
+	c.lastUsed = p.now()
+	return peerv1.NewPeerClient(c.conn), nil
+}
+
+// CloseIdle closes connections that were not used for the idle timeout. Calls
+// on such a connection must end within the timeout.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := p.now().Add(-p.idleTimeout)
+	for address, c := range p.conns {
+		if c.lastUsed.Before(limit) {
+			_ = c.conn.Close()
+			delete(p.conns, address)
+		}
+	}
+}
+
+// Forget closes the connection to address, for example after a peer died.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		_ = c.conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Len returns the number of open connections.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		_ = c.conn.Close()
+		delete(p.conns, address)
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
+)
+
+// GossipHandler answers membership probes and delivered items.
+type GossipHandler interface {
+	Probe(context.Context, *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error)
+	Deliver(context.Context, *peerv1.DeliverRequest) (*peerv1.DeliverResponse, error)
+}
+
+// ConfigHandler serves configuration to peers that lag.
+type ConfigHandler interface {
+	Fetch(*peerv1.FetchRequest, grpc.ServerStreamingServer[peerv1.FetchResponse]) error
+}
+
+// OrderHandler executes and takes over orders.
+type OrderHandler interface {
+	ExecuteOrder(context.Context, *peerv1.ExecuteOrderRequest) (*peerv1.ExecuteOrderResponse, error)
+	TakeLedger(grpc.ClientStreamingServer[peerv1.TakeLedgerRequest, peerv1.TakeLedgerResponse]) error
+}
+
+// StreamHandler keeps copies of in-flight records of other daemons.
+type StreamHandler interface {
+	Replicate(grpc.BidiStreamingServer[peerv1.ReplicateRequest, peerv1.ReplicateResponse]) error
+}
+
+// EvidenceHandler pools the counters of open moves.
+type EvidenceHandler interface {
+	ReportEvidence(context.Context, *peerv1.ReportEvidenceRequest) (*peerv1.ReportEvidenceResponse, error)
+}
+
+// Service serves the Peer protocol by delegating to one handler for each area.
+type Service struct {
+	peerv1.UnsafePeerServer
+	GossipHandler
+	ConfigHandler
+	OrderHandler
+	StreamHandler
+	EvidenceHandler
+}
+
+var _ peerv1.PeerServer = (*Service)(nil)
