Add settings, upstream adapters, directory and in-flight request records

Cause: the daemon needs its static settings and one adapter for each kind of upstream. Ruled out: pooled upstream connections; a late reply on a reused connection could reach another request, and an idle close hides whether a request was delivered.

--- /dev/null
+++ b/internal/engine/control.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+)
+
+// maxTransferBytes bounds an exported KV cache.
+const maxTransferBytes = 64 << 20
+
+type loadJSON struct {
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
+	Leaving bool `json:"leaving"`
+}
+
+// Load implements Engine.
+func (o *OpenAI) Load(ctx context.Context, address string) (Load, error) {
+	data, err := o.exchange(ctx, consts.MethodGet, address, "/v1/load", nil, timeoutOf(ctx, controlTimeout))
+	if err != nil {
+		return Load{}, err
+	}
+	var l loadJSON
+	if err := json.Unmarshal(data, &l); err != nil {
+		return Load{}, errors.Wrapf(ErrFailed, "malformed load report of %s: %v", address, err)
+	}
+	return Load{Running: l.Running, Waiting: l.Waiting, Leaving: l.Leaving, Known: true}, nil
+}
+
+// ExportKV implements Engine.
+func (o *OpenAI) ExportKV(ctx context.Context, address, attemptID string) ([]byte, error) {
+	return o.exchange(ctx, consts.MethodGet, address, "/v1/kv/"+attemptID, nil, timeoutOf(ctx, transferTimeout))
+}
+
+// ImportKV implements Engine.
+func (o *OpenAI) ImportKV(ctx context.Context, address, attemptID string, data []byte) error {
+	_, err := o.exchange(ctx, consts.MethodPost, address, "/v1/kv/"+attemptID, data, timeoutOf(ctx, transferTimeout))
+	return err
+}
+
+// Control implements Engine.
+func (o *OpenAI) Control(ctx context.Context, address string, order Order) error {
+	data, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode control order")
+	}
+	_, err = o.exchange(ctx, consts.MethodPost, address, "/v1/control", data, timeoutOf(ctx, controlTimeout))
+	return err
+}
+
+func timeoutOf(ctx context.Context, limit time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(limit, time.Until(deadline))
+	}
+	return limit
+}
+
+func (o *OpenAI) exchange(ctx context.Context, method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
+	if timeout <= 0 {
+		return nil, errors.Wrap(ErrNotSent, "the deadline has passed")
+	}
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if body != nil {
+		req.SetBody(body)
+	}
+	if err := o.http.Do(ctx, req, resp, timeout); err != nil {
+		return nil, classifySendError(err)
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if status := resp.StatusCode(); status == consts.StatusConflict || status == consts.StatusPreconditionFailed {
+		return nil, errors.Wrapf(ErrRefused, "%s %s: status %d", method, path, status)
+	} else if status >= 300 {
+		return nil, errors.Wrapf(ErrFailed, "%s %s: status %d", method, path, status)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxTransferBytes))
+	return data, errors.Wrapf(err, "read reply of %s %s", method, path)
+}
--- /dev/null
+++ b/internal/proxy/registry.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+)
+
+// registry holds the in-flight requests of this daemon by account and ID.
+type registry struct {
+	mu       sync.Mutex
+	requests map[registryKey]*Inflight
+}
+
+type registryKey struct{ account, id string }
+
+func newRegistry() *registry {
+	return &registry{requests: make(map[registryKey]*Inflight)}
+}
+
+// add stores f unless its ID is in use, and returns the stored request and
+// whether it is f.
+func (r *registry) add(f *Inflight) (*Inflight, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := registryKey{f.Account, f.ID}
+	if existing, ok := r.requests[key]; ok {
+		return existing, false
+	}
+	r.requests[key] = f
+	return f, true
+}
+
+func (r *registry) get(account, id string) *Inflight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requests[registryKey{account, id}]
+}
+
+func (r *registry) remove(f *Inflight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := registryKey{f.Account, f.ID}
+	if r.requests[key] == f {
+		delete(r.requests, key)
+	}
+}
+
+// list returns all requests.
+func (r *registry) list() []*Inflight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]*Inflight, 0, len(r.requests))
+	for _, f := range r.requests {
+		all = append(all, f)
+	}
+	return all
+}
+
+// running returns the requests that are not finished.
+func (r *registry) running() []*Inflight {
+	var running []*Inflight
+	for _, f := range r.list() {
+		if !f.After(0).Done {
+			running = append(running, f)
+		}
+	}
+	return running
+}
+
+// sweep removes finished requests and cancels running ones that have had no
+// reader since limit.
+func (r *registry) sweep(limit time.Time) {
+	for _, f := range r.list() {
+		if !f.abandonedSince(limit) {
+			continue
+		}
+		if f.After(0).Done {
+			r.remove(f)
+			continue
+		}
+		if f.cancel != nil {
+			f.cancel()
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,98 @@
+// Package settings reads the INI file of the daemon. Every key is typed and
+// has a unit, a default and a range; an unknown key or a bad value is an error
+// that names file, section and key.
+package settings
+
+import "time"
+
+// Settings are the static settings of one daemon process.
+type Settings struct {
+	Daemon    Daemon
+	Peers     Peers
+	Store     Store
+	Orders    Orders
+	Limits    Limits
+	Upstreams Upstreams
+	Operators Operators
+	Platform  Platform
+	Log       Log
+}
+
+// Daemon identifies the process and its listeners.
+type Daemon struct {
+	Name          string
+	DataCentre    string
+	Region        string
+	HTTPAddress   string
+	PeerAddress   string
+	DrainTimeout  time.Duration
+	AddressTTL    time.Duration
+	DutyWorkers   int
+	UpstreamCalls int
+}
+
+// Peers configures membership.
+type Peers struct {
+	Seeds         []string
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	SuspectAfter  time.Duration
+}
+
+// Store configures access to the key-value service.
+type Store struct {
+	Endpoints       []string
+	CallTimeout     time.Duration
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	LeaseTTL        time.Duration
+}
+
+// Orders configures order tokens.
+type Orders struct {
+	SecretID         string
+	Secret           string
+	PreviousSecretID string
+	PreviousSecret   string
+	TokenTTL         time.Duration
+	MaxEntries       int
+	MaxBytes         int64
+}
+
+// Limits bounds what callers may send and what the daemon queues.
+type Limits struct {
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	MaxStreamBytes int
+	QueueLength    int
+	ResumeWindow   time.Duration
+	RequestTimeout time.Duration
+}
+
+// Upstreams configures calls to upstreams.
+type Upstreams struct {
+	DialTimeout       time.Duration
+	FirstByteTimeout  time.Duration
+	TokenTimeout      time.Duration
+	HealthInterval    time.Duration
+	LoadInterval      time.Duration
+	SubsetSize        int
+	MigrationDeadline time.Duration
+}
+
+// Operators holds the operator key that works before any client account exists.
+type Operators struct {
+	BootstrapKeyHash string
+}
+
+// Platform locates the cloud API and the weight store.
+type Platform struct {
+	CloudAddress   string
+	NoticeInterval time.Duration
+	Placement      bool
+}
+
+// Log configures logging.
+type Log struct {
+	Level string
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const minimal = `
+[daemon]
+name = a
+data_centre = dc1
+[orders]
+secret_id = k1
+secret = 00112233445566778899aabbccddeeff
+`
+
+// A misspelt key or an out-of-range value must stop the start with its place.
+func TestParseNamesThePlaceOfAnError(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown key", minimal + "[peers]\nseed = 127.0.0.1:1\n", "section [peers], key seed: the key is unknown"},
+		{"unknown section", minimal + "[peer]\nseeds = 127.0.0.1:1\n", "section [peer] is unknown"},
+		{"range", minimal + "[store]\ncall_timeout = 1h\n", "section [store], key call_timeout: 1h0m0s is outside 50ms to 30s"},
+		{"address", minimal + "[peers]\nseeds = localhost:1\n", `section [peers], key seeds: "localhost:1" is not ip:port`},
+		{"missing", "[daemon]\nname = a\n", "section [daemon], key data_centre: a value is required"},
+		{"secret", strings.Replace(minimal, "secret = 00112233445566778899aabbccddeeff", "secret = abc", 1), "section [orders], key secret:"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := Parse("test.ini", strings.NewReader(c.text))
+			g.Expect(err).To(MatchError(ContainSubstring(c.want)))
+			g.Expect(err).To(MatchError(HavePrefix("test.ini: ")))
+		})
+	}
+}
+
+func TestParseAppliesDefaults(t *testing.T) {
+	g := NewWithT(t)
+	s, err := Parse("test.ini", strings.NewReader(minimal))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Daemon.AddressTTL.Seconds()).To(Equal(10.0))
+	g.Expect(s.Log.Level).To(Equal("info"))
+}
+
+// The reference page must not lag behind the table of keys.
+func TestReferenceIsDocumented(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/configuration.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, k := range Reference() {
+		g.Expect(string(page)).To(ContainSubstring(k.Row()))
+	}
+}
--- /dev/null
+++ b/internal/upstreamhttp/client.go
@@ -0,0 +1,82 @@
+// Package upstreamhttp makes single HTTP attempts to upstreams. Each attempt
+// uses a connection of its own, so that a late reply on a reused connection
+// cannot reach another request and an idle connection that the upstream
+// closed cannot hide whether the request was delivered.
+package upstreamhttp
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// ErrNotConnected means that no connection was made, so that no byte of the
+// request reached the upstream.
+var ErrNotConnected = errors.New("no connection to upstream")
+
+// HeaderRefused marks a reply by which an upstream refuses a request without
+// having executed it. Its value is the reason.
+const HeaderRefused = "X-Refused"
+
+// HeaderAttempt carries the attempt ID; upstreams echo it.
+const HeaderAttempt = "X-Request-Id"
+
+// Client makes attempts. It is safe for concurrent use.
+type Client struct {
+	http *client.Client
+}
+
+// New returns a client with the given time to connect.
+func New(dialTimeout time.Duration) (*Client, error) {
+	c, err := client.NewClient(
+		client.WithDialer(dialer{standard.NewDialer()}),
+		client.WithDialTimeout(dialTimeout),
+		client.WithResponseBodyStream(true),
+		client.WithKeepAlive(false),
+		client.WithMaxConnsPerHost(1<<16),
+		client.WithNoDefaultUserAgentHeader(true),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "create HTTP client")
+	}
+	return &Client{http: c}, nil
+}
+
+// Do sends req and reads the header of the reply; the body is a stream that
+// the caller must close. readTimeout bounds the wait for the header and then
+// each read of the body. The error wraps ErrNotConnected if no byte was sent.
+func (c *Client) Do(ctx context.Context, req *protocol.Request, resp *protocol.Response, readTimeout time.Duration) error {
+	req.SetConnectionClose()
+	req.SetOptions(config.WithReadTimeout(readTimeout), config.WithWriteTimeout(readTimeout))
+	if err := ctx.Err(); err != nil {
+		return errors.Wrapf(ErrNotConnected, "%v", err)
+	}
+	return c.http.Do(ctx, req, resp)
+}
+
+// dialer marks failed dials, which hertz otherwise reports like failed writes.
+type dialer struct{ network.Dialer }
+
+func (d dialer) DialConnection(netw, address string, timeout time.Duration, cfg *tls.Config) (network.Conn, error) {
+	conn, err := d.Dialer.DialConnection(netw, address, timeout, cfg)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
+	}
+	return conn, nil
+}
+
+func (d dialer) DialTimeout(netw, address string, timeout time.Duration, cfg *tls.Config) (net.Conn, error) {
+	conn, err := d.Dialer.DialTimeout(netw, address, timeout, cfg)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/upstreams/attempt.go
@@ -0,0 +1,106 @@
+package upstreams
+
+import (
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/operatorapi"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/health"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/routing"
+)
+
+// Failure classifies the end of an attempt for health and limits.
+type Failure int
+
+// Failures of attempts.
+const (
+	// FailureNone means success, or an end that the upstream did not cause.
+	FailureNone Failure = iota
+	// FailureError means that the upstream failed or could not be reached.
+	FailureError
+	// FailureOverload means that the upstream refused because of its load.
+	FailureOverload
+)
+
+// ObserveLoad takes the load that a reply carried.
+func (a *Attempt) ObserveLoad(l engine.Load) {
+	if !l.Known {
+		return
+	}
+	a.entry.candidate.SetReplyLoad(routing.Load{
+		Running: l.Running, Waiting: l.Waiting, At: a.directory.options.Clock.Now(),
+	})
+}
+
+// FirstByte records that the reply began.
+func (a *Attempt) FirstByte() {
+	if a.first != 0 {
+		return
+	}
+	a.first = max(1, a.directory.options.Clock.Now().Sub(a.started))
+	a.counting.FirstByte()
+	a.entry.limiter.Observe(a.first, a.work, a.entry.candidate.InFlight())
+	a.entry.candidate.ObserveRate(a.work, a.first)
+}
+
+// FirstLatency returns the time to the first byte, 0 if there was none.
+func (a *Attempt) FirstLatency() time.Duration { return a.first }
+
+// Elapsed returns the time since the attempt began.
+func (a *Attempt) Elapsed() time.Duration { return a.directory.options.Clock.Now().Sub(a.started) }
+
+// End finishes the attempt.
+func (a *Attempt) End(failure Failure) {
+	a.counting.End()
+	switch failure {
+	case FailureOverload:
+		a.entry.limiter.Drop()
+	case FailureError:
+		a.directory.tracker.Observe(a.Name, health.Outcome{Failed: true})
+	default:
+		if a.first > 0 {
+			a.directory.tracker.Observe(a.Name, health.Outcome{Latency: a.first})
+		}
+	}
+	a.directory.publish(a.entry)
+}
+
+// publish copies the health of one upstream to its candidate.
+func (d *Directory) publish(e *entry) {
+	status, ok := d.tracker.Status(e.candidate.Name)
+	if !ok {
+		return
+	}
+	e.candidate.SetHealthWeight(status.Weight)
+	e.candidate.SetLimit(e.limiter.Limit())
+}
+
+// Status lists the upstreams for the operators' API.
+func (d *Directory) Status() []operatorapi.UpstreamStatus {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	list := make([]operatorapi.UpstreamStatus, 0, len(d.entries))
+	for name, e := range d.entries {
+		status, _ := d.tracker.Status(name)
+		list = append(list, operatorapi.UpstreamStatus{
+			Name: name, Address: e.spec.Address, DataCentre: e.spec.DataCentre,
+			State: stateOf(status), InFlight: e.candidate.InFlight(),
+			Limit: e.limiter.Limit(), Health: status.Weight,
+		})
+	}
+	return list
+}
+
+func stateOf(s health.Status) string {
+	switch {
+	case s.Leaving != "":
+		return "leaving: " + string(s.Leaving)
+	case s.Panicked:
+		return "unhealthy (kept by panic threshold): " + s.Reason.String()
+	case s.Reason != health.ReasonNone:
+		return "ejected: " + s.Reason.String()
+	case s.Weight < 1:
+		return "slow start"
+	}
+	return "ready"
+}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -1,6 +1,9 @@
 package result
 
-import "sort"
+import (
+	"fmt"
+	"sort"
+)
 
 // Code is a numbered result. The hundreds give the area: 0 success, 1000
 // caller input, 1100 authentication, 1200 limits, 1300 upstreams, 1400 orders,
@@ -140,3 +143,8 @@
 	sort.Slice(codes, func(i, j int) bool { return codes[i] < codes[j] })
 	return codes
 }
+
+// Row returns the code as a row of the table in docs/errors.md.
+func (c Code) Row() string {
+	return fmt.Sprintf("| %d | %s | %d | %s |", c, c.Title(), c.HTTPStatus(), c.Cause())
+}
