--- /dev/null
+++ b/internal/store/etcdv3/client_test.go
@@ -0,0 +1,222 @@
+package etcdv3_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store/etcdv3"
+	standin "github.com/dogwoodrudder/dogwoodrudder/test/standin/store"
+)
+
+const callTimeout = 300 * time.Millisecond
+
+func startStore(t *testing.T, options standin.Options) (*standin.Server, *etcdv3.Client) {
+	t.Helper()
+	g := NewWithT(t)
+	server := standin.New(options)
+	g.Expect(server.Start("127.0.0.1:0")).To(Succeed())
+	t.Cleanup(server.Close)
+	client, err := etcdv3.New(etcdv3.Options{
+		Addresses: []string{server.Address()}, Timeout: callTimeout, MaxBackoff: 100 * time.Millisecond,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = client.Close() })
+	return server, client
+}
+
+func put(client store.Store, key, value string, conditions ...store.Condition) (store.TxnResult, error) {
+	return client.Txn(context.Background(), conditions, []store.Op{{Key: key, Value: []byte(value)}})
+}
+
+// Guards against transactions that apply although a condition fails, or that
+// do not report the entries that made them fail.
+func TestTxnAppliesOnlyIfConditionsHold(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	_, client := startStore(t, standin.Options{})
+	first, err := put(client, "/a/1", "one", store.Condition{Key: "/a/1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.Succeeded).To(BeTrue())
+
+	second, err := put(client, "/a/1", "two", store.Condition{Key: "/a/0"}, store.Condition{Key: "/a/1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.Succeeded).To(BeFalse())
+	g.Expect(second.Current).To(HaveLen(2))
+	g.Expect(second.Current[0].ModRevision).To(BeZero())
+	g.Expect(second.Current[1].ModRevision).To(Equal(first.Revision))
+
+	_, err = put(client, "/b", "outside")
+	g.Expect(err).NotTo(HaveOccurred())
+	entries, revision, err := client.List(ctx, "/a/")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entries).To(HaveLen(1))
+	g.Expect(string(entries[0].Value)).To(Equal("one"))
+	g.Expect(revision).To(Equal(first.Revision + 1))
+	missing, err := client.Get(ctx, "/missing")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(missing.ModRevision).To(BeZero())
+}
+
+// Guards against a write that was never sent being reported as unknown, and
+// against a write that may have applied being reported as not sent.
+func TestFailuresTellSentFromNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+		want   error
+	}{
+		{"refused connection", standin.Faults{Down: standin.DownRefuse}, store.ErrUnavailable},
+		{"no answer", standin.Faults{Down: standin.DownHang}, store.ErrOutcomeUnknown},
+		{"slow", standin.Faults{DelayMillis: 1000}, store.ErrOutcomeUnknown},
+		{"lost reply", standin.Faults{LoseReplies: 1}, store.ErrOutcomeUnknown},
+		{"reset after the write", standin.Faults{LoseReplies: 1, LoseByReset: true}, store.ErrOutcomeUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			server, client := startStore(t, standin.Options{})
+			_, err := put(client, "/k", "before")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(server.SetFaults(c.faults)).To(Succeed())
+			start := time.Now()
+			_, err = put(client, "/k", "after")
+			g.Expect(err).To(MatchError(c.want))
+			g.Expect(time.Since(start)).To(BeNumerically("<", 2*callTimeout))
+			if c.faults.LoseReplies == 0 {
+				_, err = client.Get(context.Background(), "/k")
+				g.Expect(err).To(MatchError(store.ErrUnavailable))
+			}
+			g.Expect(server.SetFaults(standin.Faults{})).To(Succeed())
+			g.Eventually(func(g Gomega) {
+				kv, err := client.Get(context.Background(), "/k")
+				g.Expect(err).NotTo(HaveOccurred())
+				if c.faults.LoseReplies > 0 {
+					g.Expect(string(kv.Value)).To(Equal("after"))
+				}
+			}, 3*time.Second).Should(Succeed())
+		})
+	}
+}
+
+// Guards against calls beyond the store's limit being treated as writes with
+// an unknown outcome.
+func TestLimitedCallsAreUnavailable(t *testing.T) {
+	g := NewWithT(t)
+	server, client := startStore(t, standin.Options{WritesPerSecond: 2})
+	var refused int
+	for range 6 {
+		if _, err := put(client, "/k", "v"); err != nil {
+			g.Expect(err).To(MatchError(store.ErrUnavailable))
+			refused++
+		}
+	}
+	g.Expect(refused).To(BeNumerically(">=", 3))
+	g.Expect(server.Stats().Calls).To(HaveKeyWithValue("limited", BeNumerically("==", refused)))
+}
+
+// Guards against a lease that ended being renewed or used.
+func TestLeaseExpiry(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	server, client := startStore(t, standin.Options{})
+	id, err := client.Grant(ctx, 1500*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = client.Txn(ctx, nil, []store.Op{{Key: "/holder", Value: []byte("me"), Lease: id}})
+	g.Expect(err).NotTo(HaveOccurred())
+	ttl, err := client.KeepAlive(ctx, id)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ttl).To(Equal(2 * time.Second))
+
+	g.Expect(server.ExpireLease(int64(id))).To(Equal(1))
+	_, err = client.KeepAlive(ctx, id)
+	g.Expect(err).To(MatchError(store.ErrLeaseExpired))
+	_, err = client.Txn(ctx, nil, []store.Op{{Key: "/holder", Lease: id}})
+	g.Expect(err).To(MatchError(store.ErrLeaseExpired))
+	g.Expect(client.Revoke(ctx, id)).To(MatchError(store.ErrLeaseExpired))
+	kv, err := client.Get(ctx, "/holder")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(kv.ModRevision).To(BeZero())
+}
+
+func next(t *testing.T, batches <-chan store.WatchBatch) store.WatchBatch {
+	t.Helper()
+	select {
+	case batch, ok := <-batches:
+		if !ok {
+			t.Fatal("watch channel closed")
+		}
+		return batch
+	case <-time.After(5 * time.Second):
+		t.Fatal("no batch")
+		return store.WatchBatch{}
+	}
+}
+
+// Guards against events that are lost or repeated when the store goes away
+// and comes back.
+func TestWatchResumesAfterOutage(t *testing.T) {
+	for _, down := range []standin.Down{standin.DownRefuse, standin.DownHang} {
+		t.Run(string(down), func(t *testing.T) {
+			g := NewWithT(t)
+			server, client := startStore(t, standin.Options{})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			batches := client.Watch(ctx, "/w/", server.Revision())
+			for i := range 6 {
+				if i == 3 {
+					g.Expect(server.SetFaults(standin.Faults{Down: down})).To(Succeed())
+					time.Sleep(50 * time.Millisecond)
+					g.Expect(server.SetFaults(standin.Faults{})).To(Succeed())
+				}
+				g.Eventually(func() error { _, err := put(client, "/w/k", "v"); return err }, 3*time.Second).Should(Succeed())
+				batch := next(t, batches)
+				g.Expect(batch.Err).NotTo(HaveOccurred())
+				g.Expect(batch.Events).To(HaveLen(1))
+				g.Expect(batch.Revision).To(Equal(server.Revision()))
+			}
+			cancel()
+			g.Eventually(batches).Should(BeClosed())
+		})
+	}
+}
+
+// Guards against a watch that silently waits for a revision that a restored
+// store will reach only later.
+func TestWatchReportsOldData(t *testing.T) {
+	g := NewWithT(t)
+	server, client := startStore(t, standin.Options{})
+	old := server.Revision()
+	batches := client.Watch(context.Background(), "/w/", old)
+	for range 3 {
+		_, err := put(client, "/w/k", "v")
+		g.Expect(err).NotTo(HaveOccurred())
+		next(t, batches)
+	}
+	g.Expect(server.Rollback(old + 1)).To(Succeed())
+	g.Expect(next(t, batches).Err).To(MatchError(store.ErrCompacted))
+	g.Eventually(batches).Should(BeClosed())
+	g.Eventually(func(g Gomega) {
+		kv, err := client.Get(context.Background(), "/w/k")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(kv.ModRevision).To(Equal(old + 1))
+	}, 3*time.Second).Should(Succeed())
+}
+
+// Guards against a client that stays with a dead endpoint.
+func TestNextEndpointIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	server, _ := startStore(t, standin.Options{})
+	dead := standin.New(standin.Options{})
+	g.Expect(dead.Start("127.0.0.1:0")).To(Succeed())
+	dead.Close()
+	client, err := etcdv3.New(etcdv3.Options{Addresses: []string{dead.Address(), server.Address()}})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = client.Close() }()
+	_, err = client.Get(context.Background(), "/k")
+	g.Expect(err).To(MatchError(store.ErrUnavailable))
+	_, err = client.Get(context.Background(), "/k")
+	g.Expect(err).NotTo(HaveOccurred())
+}
