Add the application service stand-in

Cause: tests of at-most-once execution need a service that counts every execution by Idempotency-Key and whose faults they control. Ruled out: deduplication in the stand-in, because it would hide duplicates. A crossed reply first replaced the remembered own reply as well; the reply test showed it.

--- /dev/null
+++ b/test/standin/app/handle.go
@@ -0,0 +1,104 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/fault"
+)
+
+type operation func(c *app.RequestContext, path string) any
+
+// handle wraps an operation with refusals, service time and faults.
+func (s *Server) handle(path string, execute operation) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		load := int(s.inFlight.Add(1))
+		defer s.inFlight.Add(-1)
+		s.update(func(stats *Stats) { stats.Requests++ })
+		if s.faults.WaitThaw(ctx) != nil {
+			return
+		}
+		if reason := s.refusal(load); reason != "" {
+			s.refuse(c, reason)
+			return
+		}
+		d := s.faults.Decide(fault.Request{Path: string(c.Path()), Body: c.Request.Body(), Load: load})
+		if d.Fail {
+			s.update(func(stats *Stats) { stats.Failed++ })
+			c.Response.Header.Set(fault.HeaderRequestID, string(c.GetHeader(fault.HeaderRequestID)))
+			c.JSON(d.Status, map[string]string{"error": "injected failure"})
+			return
+		}
+		if !s.serve(d.Slow) {
+			s.update(func(stats *Stats) { stats.Dropped++ })
+			drop(c)
+			return
+		}
+		// The execution does not depend on the caller's connection.
+		result := execute(c, path)
+		s.update(func(stats *Stats) { stats.Operations[path]++ })
+		if s.faults.WaitThaw(ctx) != nil {
+			return
+		}
+		s.reply(ctx, c, result, d)
+	}
+}
+
+// serve takes the service time. It returns false if the notice ended first.
+func (s *Server) serve(slow float64) bool {
+	timer := time.NewTimer(time.Duration(float64(s.options.ServiceTime) * slow))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.gone:
+		return false
+	case <-s.stop:
+		return false
+	}
+}
+
+// drop closes the connection without a reply.
+func drop(c *app.RequestContext) { _ = c.GetConn().Close() }
+
+func (s *Server) reply(ctx context.Context, c *app.RequestContext, result any, d fault.Decision) {
+	id := string(c.GetHeader(fault.HeaderRequestID))
+	own := &fault.Reply{Status: http.StatusOK, ContentType: "application/json", RequestID: id, Body: marshal(result)}
+	values := s.http.Values(ctx)
+	previous, other := s.replies.Previous(values), s.replies.Other(id)
+	s.replies.Remember(values, id, func() *fault.Reply { return own })
+	switch {
+	case d.Lose:
+		s.update(func(stats *Stats) { stats.LostReply++ })
+		if d.LoseByHang {
+			<-ctx.Done()
+		}
+		drop(c)
+		return
+	case d.Cut:
+		cut(c, own)
+		return
+	case d.Late && previous != nil:
+		_ = previous.WriteRaw(c)
+	case d.Cross && other != nil:
+		other.Send(c)
+		return
+	case d.Repeat:
+		_ = own.WriteRaw(c)
+	}
+	own.Send(c)
+}
+
+// cut sends the header and half of the body and closes the connection.
+func cut(c *app.RequestContext, own *fault.Reply) {
+	c.Response.Header.SetStatusCode(own.Status)
+	c.Response.Header.SetContentType(own.ContentType)
+	c.Response.Header.Set(fault.HeaderRequestID, own.RequestID)
+	c.Response.Header.SetContentLength(len(own.Body))
+	_, _ = c.GetWriter().WriteBinary(append(c.Response.Header.Header(), own.Body[:len(own.Body)/2]...))
+	_ = c.GetWriter().Flush()
+	drop(c)
+}
