--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -18,6 +19,10 @@
 	MaxMessageBytes  = 8 << 20
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
+	// maxReconnectDelay is shorter than the suspicion timeout, so that a peer
+	// that restarts isn't suspected because of the reconnect backoff.
+	maxReconnectDelay = time.Second
+	connectTimeout    = time.Second
 )
 
 // Pool keeps one connection for each peer address. Connections that were not
@@ -61,6 +66,15 @@
 			Time:    keepaliveTime,
 			Timeout: keepaliveTimeout,
 		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  100 * time.Millisecond,
+				Multiplier: 1.6,
+				Jitter:     0.2,
+				MaxDelay:   maxReconnectDelay,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
 	}
 }
 
