--- /dev/null
+++ b/pkg/statechart/machine.go
@@ -0,0 +1,119 @@
+package statechart
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/qmuntal/stateless"
+)
+
+// Reasons for which Fire refuses an event.
+var (
+	ErrUnknownEvent = errors.New("event is not part of the chart")
+	ErrFinal        = errors.New("state is final")
+)
+
+// EventError is returned by Fire; errors.Is finds its reason.
+type EventError struct {
+	Chart  string
+	State  string
+	Event  string
+	Reason error
+}
+
+// Error implements error.
+func (e *EventError) Error() string {
+	return fmt.Sprintf("chart %s, state %s, event %s: %v", e.Chart, e.State, e.Event, e.Reason)
+}
+
+// Unwrap returns the reason.
+func (e *EventError) Unwrap() error { return e.Reason }
+
+// Transition is passed to hooks.
+type Transition struct {
+	From  string
+	To    string
+	Event string
+}
+
+// Hook runs after State was entered. An empty State means every state. Hooks
+// run in the goroutine that fires; a hook may fire the next event.
+type Hook struct {
+	State string
+	Run   func(Transition)
+}
+
+// Machine is one running instance of a chart. It is not safe for concurrent use.
+type Machine struct {
+	chart   *Chart
+	ctx     context.Context // carries the Machine to the library's state storage
+	state   stateless.State
+	entered bool
+	hooks   []Hook
+}
+
+// Machine returns an instance in the initial state. It panics if a hook names
+// a state that the chart does not have, which is a programming error.
+func (c *Chart) Machine(hooks ...Hook) *Machine {
+	for _, h := range hooks {
+		if _, ok := c.def.States[h.State]; !ok && h.State != "" {
+			panic(fmt.Sprintf("chart %s has no state %q", c.def.Name, h.State))
+		}
+	}
+	m := &Machine{chart: c, state: c.def.Initial, hooks: hooks}
+	m.ctx = context.WithValue(context.Background(), machineKey{}, m)
+	return m
+}
+
+// State returns the name of the current state.
+func (m *Machine) State() string { return m.state.(string) }
+
+// Final reports whether the current state is final.
+func (m *Machine) Final() bool { return m.chart.def.States[m.State()].Final }
+
+// Can reports whether event leads to a transition in the current state.
+func (m *Machine) Can(event string) bool {
+	_, ok := m.chart.def.States[m.State()].On[event]
+	return ok
+}
+
+// Fire handles event. An ignored event changes nothing and is no error. A
+// transition to the same state runs the hooks of that state again.
+func (m *Machine) Fire(event string) error {
+	trigger, ok := m.chart.events[event]
+	if !ok {
+		return m.refuse(event, ErrUnknownEvent)
+	}
+	if m.Final() {
+		return m.refuse(event, ErrFinal)
+	}
+	from := m.state
+	m.entered = false
+	if err := m.chart.library.FireCtx(m.ctx, trigger); err != nil {
+		return m.refuse(event, err)
+	}
+	if m.entered {
+		m.runHooks(Transition{From: from.(string), To: m.State(), Event: event})
+	}
+	return nil
+}
+
+// enter is called by the library. Hooks run after the library has returned,
+// because it writes the state of a transition to the same state last.
+func (m *Machine) enter(state stateless.State) {
+	m.state = state
+	m.entered = true
+}
+
+func (m *Machine) runHooks(t Transition) {
+	for i := range m.hooks {
+		if h := &m.hooks[i]; h.State == "" || h.State == t.To {
+			h.Run(t)
+		}
+	}
+}
+
+func (m *Machine) refuse(event string, reason error) error {
+	return &EventError{Chart: m.chart.def.Name, State: m.State(), Event: event, Reason: reason}
+}
