--- /dev/null
+++ b/pkg/admission/limiter.go
@@ -0,0 +1,122 @@
+package admission
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// LimiterConfig configures a Limiter. Zero values mean the defaults.
+type LimiterConfig struct {
+	// Min, Max and Initial are numbers of concurrent requests.
+	Min, Max, Initial int
+	// Tolerance is the ratio of latency to its baseline up to which the limit
+	// grows.
+	Tolerance float64
+}
+
+const (
+	defaultMin       = 1
+	defaultMax       = 256
+	defaultInitial   = 8
+	defaultTolerance = 2.0
+	// limitSmoothing is the weight of a new limit. The update runs per reply.
+	limitSmoothing = 0.1
+	// baselineRise moves the latency baseline towards higher samples. Slow
+	// enough that a queue of a minute isn't taken for the normal latency at
+	// ten replies per second.
+	baselineRise = 0.001
+	// baselineFall follows lower samples without trusting a single one.
+	baselineFall = 0.2
+	// dropFactor is the multiplicative decrease after a refusal or timeout.
+	dropFactor = 0.9
+	// minCost bounds the normalisation of small requests, whose latency is
+	// dominated by fixed overhead.
+	minCost = 256
+)
+
+// Limiter adapts the concurrency limit of one upstream to its latency: the
+// limit grows by its square root while the latency per cost stays near its
+// baseline, shrinks with the gradient above it and multiplicatively on drops.
+// It is safe for concurrent use.
+type Limiter struct {
+	config LimiterConfig
+
+	mu       sync.Mutex
+	limit    float64
+	baseline float64 // seconds per cost unit without queueing
+	recent   float64 // smoothed seconds per cost unit
+}
+
+// NewLimiter returns a limiter at its initial limit.
+func NewLimiter(config LimiterConfig) *Limiter {
+	if config.Min <= 0 {
+		config.Min = defaultMin
+	}
+	if config.Max <= 0 {
+		config.Max = defaultMax
+	}
+	config.Max = max(config.Min, config.Max)
+	if config.Initial <= 0 {
+		config.Initial = defaultInitial
+	}
+	if config.Tolerance <= 1 {
+		config.Tolerance = defaultTolerance
+	}
+	initial := min(max(config.Initial, config.Min), config.Max)
+	return &Limiter{config: config, limit: float64(initial)}
+}
+
+// Limit returns the current limit of concurrent requests.
+func (l *Limiter) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.limit)
+}
+
+// Observe records the time to the first byte of a request with the given cost
+// in work units. inFlight is the concurrency when it was sent; the limit only
+// grows while at least half of it is used.
+func (l *Limiter) Observe(latency time.Duration, cost float64, inFlight int) {
+	sample := latency.Seconds() / math.Max(cost, minCost)
+	if sample <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learn(sample)
+	gradient := math.Min(1, l.config.Tolerance*l.baseline/l.recent)
+	if gradient == 1 && float64(inFlight)*2 < l.limit {
+		return
+	}
+	gradient = math.Max(0.5, gradient)
+	target := l.limit * gradient
+	if gradient == 1 {
+		target += math.Sqrt(l.limit)
+	}
+	l.set(l.limit + limitSmoothing*(target-l.limit))
+}
+
+func (l *Limiter) learn(sample float64) {
+	if l.baseline == 0 {
+		l.baseline, l.recent = sample, sample
+		return
+	}
+	l.recent += limitSmoothing * (sample - l.recent)
+	rate := baselineRise
+	if sample < l.baseline {
+		rate = baselineFall
+	}
+	l.baseline += rate * (sample - l.baseline)
+}
+
+// Drop records a refusal for overload or a timeout.
+func (l *Limiter) Drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(l.limit * dropFactor)
+}
+
+func (l *Limiter) set(limit float64) {
+	l.limit = math.Min(float64(l.config.Max), math.Max(float64(l.config.Min), limit))
+}
--- /dev/null
+++ b/pkg/routing/candidate.go
@@ -0,0 +1,183 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Load is what an upstream says about itself, on a reply or in a report.
+type Load struct {
+	// Work is the outstanding work of all daemons, in work units.
+	Work float64
+	// Running and Waiting are numbers of requests.
+	Running, Waiting int
+	// At is when the upstream measured the load.
+	At time.Time
+}
+
+// Upstream is the fixed description of a candidate.
+type Upstream struct {
+	Name         string
+	Address      string // ip:port
+	Service      string
+	Version      string
+	DataCentre   string
+	MachineClass string
+	PricePerHour float64
+	Labels       map[string]string
+	// NominalRate is the expected rate in work units per second until replies
+	// have been measured; 0 means the scheduler's default.
+	NominalRate float64
+}
+
+// Candidate is an upstream with the state that this daemon knows about it.
+// The state is updated concurrently with picks.
+type Candidate struct {
+	Upstream
+	hash     uint64
+	inFlight atomic.Int64
+	work     atomic.Int64
+	limit    atomic.Int64
+	leaving  atomic.Bool
+	weight   atomic.Uint64
+	rate     atomic.Uint64
+	reply    atomic.Pointer[loadSample]
+	report   atomic.Pointer[loadSample]
+}
+
+type loadSample struct {
+	Load
+	// own is this daemon's outstanding work when the sample arrived.
+	own float64
+}
+
+// NewCandidate returns a candidate without load, limit or notice, with health
+// weight 1.
+func NewCandidate(u Upstream) *Candidate {
+	c := &Candidate{Upstream: u, hash: xxhash.Sum64String(u.Name)}
+	c.SetHealthWeight(1)
+	return c
+}
+
+// InFlight returns the number of this daemon's unfinished attempts.
+func (c *Candidate) InFlight() int { return int(c.inFlight.Load()) }
+
+// OwnWork returns this daemon's outstanding work in work units.
+func (c *Candidate) OwnWork() float64 { return float64(c.work.Load()) }
+
+// SetLimit sets the concurrency limit for this daemon; 0 means none.
+func (c *Candidate) SetLimit(limit int) { c.limit.Store(int64(limit)) }
+
+// Limit returns the concurrency limit; 0 means none.
+func (c *Candidate) Limit() int { return int(c.limit.Load()) }
+
+// SetLeaving records whether the upstream has announced that it leaves.
+func (c *Candidate) SetLeaving(leaving bool) { c.leaving.Store(leaving) }
+
+// Leaving reports whether the upstream has announced that it leaves.
+func (c *Candidate) Leaving() bool { return c.leaving.Load() }
+
+// SetHealthWeight sets the share of its normal traffic that the upstream
+// should get, from 0 (ejected) to 1.
+func (c *Candidate) SetHealthWeight(weight float64) {
+	c.weight.Store(math.Float64bits(math.Max(0, math.Min(1, weight))))
+}
+
+// HealthWeight returns the weight set by SetHealthWeight.
+func (c *Candidate) HealthWeight() float64 { return math.Float64frombits(c.weight.Load()) }
+
+// SetReplyLoad records the load carried on a reply. Older samples are ignored.
+func (c *Candidate) SetReplyLoad(l Load) { c.store(&c.reply, l) }
+
+// SetReportedLoad records a load report. Older samples are ignored.
+func (c *Candidate) SetReportedLoad(l Load) { c.store(&c.report, l) }
+
+func (c *Candidate) store(p *atomic.Pointer[loadSample], l Load) {
+	next := &loadSample{Load: l, own: c.OwnWork()}
+	for {
+		old := p.Load()
+		if old != nil && l.At.Before(old.At) {
+			return
+		}
+		if p.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// latest returns the newer of the reply's load and the report, or nil.
+func (c *Candidate) latest() *loadSample {
+	reply, report := c.reply.Load(), c.report.Load()
+	if reply == nil || (report != nil && report.At.After(reply.At)) {
+		return report
+	}
+	return reply
+}
+
+// rateDecay lowers the measured maximum with each sample, so that an upstream
+// that has become slower is noticed after a few dozen replies.
+const rateDecay = 0.98
+
+// ObserveRate records that work units took elapsed until the first byte. The
+// candidate keeps a decaying maximum, because queueing only lowers a sample.
+func (c *Candidate) ObserveRate(work float64, elapsed time.Duration) {
+	if work <= 0 || elapsed <= 0 {
+		return
+	}
+	sample := work / elapsed.Seconds()
+	for {
+		old := c.rate.Load()
+		next := math.Max(sample, math.Float64frombits(old)*rateDecay)
+		if c.rate.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+// Rate returns the measured rate, the nominal rate or fallback, in work units
+// per second.
+func (c *Candidate) Rate(fallback float64) float64 {
+	if r := math.Float64frombits(c.rate.Load()); r > 0 {
+		return r
+	}
+	if c.NominalRate > 0 {
+		return c.NominalRate
+	}
+	return fallback
+}
+
+// Attempt is the accounting of one attempt on a candidate.
+type Attempt struct {
+	candidate *Candidate
+	work      int64
+	started   atomic.Bool
+	ended     atomic.Bool
+}
+
+// Begin counts an attempt with the given work. Call it directly after the
+// pick, so that the next pick sees it.
+func (c *Candidate) Begin(work float64) *Attempt {
+	a := &Attempt{candidate: c, work: int64(math.Max(1, math.Ceil(work)))}
+	c.inFlight.Add(1)
+	c.work.Add(a.work)
+	return a
+}
+
+// FirstByte marks the work as done; the attempt stays in flight until End.
+func (a *Attempt) FirstByte() {
+	if a.started.CompareAndSwap(false, true) {
+		a.candidate.work.Add(-a.work)
+	}
+}
+
+// End finishes the attempt, also without a first byte. Further calls have no
+// effect.
+func (a *Attempt) End() {
+	if a.ended.CompareAndSwap(false, true) {
+		a.FirstByte()
+		a.candidate.inFlight.Add(-1)
+	}
+}
--- /dev/null
+++ b/pkg/routing/scorer_prefix.go
@@ -0,0 +1,8 @@
+package routing
+
+// PrefixScorer is the time to process the part of the prompt that is not
+// presumed to be cached.
+type PrefixScorer struct{}
+
+// Score implements Scorer.
+func (PrefixScorer) Score(v *View, c *Candidate) float64 { return v.uncachedWork(c) / v.Rate(c) }
