Add the order ledger and its tokens

Ruled out: comparing the expiry with the plain clock, because a clock that is set back would revive a dropped key; importing a transfer piece by piece, because pieces of two senders could be mixed into a ledger that looks complete. Change: pkg/order signs tokens, keeps the ledger of an incarnation, freezes it, exports it and takes over the ledger of another one. Ledger states follow charts/order.yaml. Conclusion: the ledger is ready to be bound to the peers.

--- /dev/null
+++ b/pkg/order/ledger.go
@@ -0,0 +1,281 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/charts"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
+)
+
+// Ledger is the order ledger of one daemon incarnation. It also holds the
+// ledgers that the daemon took over. It is safe for concurrent use.
+type Ledger struct {
+	self   string
+	clock  clockwork.Clock
+	limits Limits
+	chart  *statechart.Chart
+
+	mu        sync.Mutex
+	now       time.Time // never runs backwards, so a dropped key stays expired
+	books     map[string]*book
+	expiry    expiryHeap
+	bytes     int64
+	count     int
+	frozen    bool
+	successor string // set before the successor can execute a key
+	late      []lateEntry
+}
+
+// book holds the keys of one incarnation.
+type book struct {
+	executor string
+	sender   string // daemon that sent the book; empty for the own one
+	// complete: every key that was ever started and that expires after
+	// completeAfter is in entries, and no other daemon can start one.
+	complete      bool
+	completeAfter time.Time
+	entries       map[string]*entry
+}
+
+type entry struct {
+	book    *book
+	key     string
+	account string
+	hash    [32]byte
+	expires time.Time
+	machine *statechart.Machine
+	current *attempt // nil unless pending or sent
+	outcome Outcome
+	foreign bool // the current state was imported
+	size    int64
+	index   int // in the expiry heap, -1 if not in it
+}
+
+// lateEntry was settled after the freeze and goes to the successor.
+type lateEntry struct {
+	executor string
+	entry    Entry
+}
+
+// attempt is one execution of an entry; waiters keep it while the entry goes on.
+type attempt struct {
+	done    chan struct{}
+	outcome Outcome // valid after done is closed
+}
+
+func (e *entry) state() State { return State(e.machine.State()) }
+
+// NewLedger returns the empty ledger of the incarnation self.
+func NewLedger(self string, clock clockwork.Clock, limits Limits) (*Ledger, error) {
+	chart, err := statechart.Load(charts.Files, "order")
+	if err != nil {
+		return nil, errors.Wrap(err, "load the order chart")
+	}
+	l := &Ledger{
+		self: self, clock: clock, limits: limits, chart: chart,
+		books: make(map[string]*book), now: clock.Now().Round(0),
+	}
+	l.books[self] = newBook(self, "")
+	l.books[self].complete = true
+	return l, nil
+}
+
+func newBook(executor, sender string) *book {
+	return &book{executor: executor, sender: sender, entries: make(map[string]*entry)}
+}
+
+// Begin decides about an order. account and hash bind the key to one request.
+func (l *Ledger) Begin(key Key, account string, hash [32]byte) (Ticket, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.advance().Before(key.Expires) {
+		return Ticket{}, result.New(result.OrderKeyExpired, result.Unknown,
+			"the order token expired at %s", key.Expires.UTC().Format(time.RFC3339Nano))
+	}
+	b := l.books[key.DaemonID]
+	if b == nil {
+		return Ticket{Decision: NotOwner}, nil
+	}
+	e := b.entries[key.Text]
+	if e == nil {
+		return l.beginNew(b, key, account, hash)
+	}
+	if e.account != account || e.hash != hash {
+		return Ticket{}, result.New(result.OrderKeyReused, result.NotRun,
+			"the Idempotency-Key belongs to another request")
+	}
+	switch state := e.state(); {
+	case !b.complete && state != StateRan:
+		return Ticket{Decision: NotOwner}, nil
+	case state == StatePending || state == StateSent:
+		return Ticket{Decision: Wait, entry: e, attempt: e.current}, nil
+	case state == StateNotRun:
+		return l.beginAgain(b, e)
+	}
+	return Ticket{Decision: Replay, Outcome: e.outcome}, nil
+}
+
+func (l *Ledger) beginNew(b *book, key Key, account string, hash [32]byte) (Ticket, error) {
+	if b.complete && !key.Expires.After(b.completeAfter) {
+		return Ticket{}, result.New(result.OrderKeyExpired, result.Unknown,
+			"the order token had expired on the daemon that issued it")
+	}
+	if t, refused, err := l.mayStart(b); refused {
+		return t, err
+	}
+	e := &entry{
+		book: b, key: key.Text, account: account, hash: hash, expires: key.Expires,
+		machine: l.chart.Machine(), index: -1,
+	}
+	if err := l.reserve(e); err != nil {
+		return Ticket{}, err
+	}
+	l.add(e)
+	return l.start(e), nil
+}
+
+func (l *Ledger) beginAgain(b *book, e *entry) (Ticket, error) {
+	if t, refused, err := l.mayStart(b); refused {
+		return t, err
+	}
+	if err := l.reserve(e); err != nil {
+		return Ticket{}, err
+	}
+	_ = e.machine.Fire("restart")
+	return l.start(e), nil
+}
+
+// mayStart refuses to execute keys that another daemon decides about.
+func (l *Ledger) mayStart(b *book) (t Ticket, refused bool, err error) {
+	switch {
+	case !b.complete:
+		return Ticket{Decision: NotOwner}, true, nil
+	case l.successor != "":
+		return Ticket{Decision: Forward, Successor: l.successor}, true, nil
+	case l.frozen:
+		return Ticket{}, true, result.New(result.OrderFrozen, result.NotRun,
+			"the daemon is stopping and did not start the order")
+	}
+	return Ticket{}, false, nil
+}
+
+func (l *Ledger) start(e *entry) Ticket {
+	e.current = &attempt{done: make(chan struct{})}
+	e.foreign = false
+	e.outcome = Outcome{}
+	return Ticket{Decision: Start, entry: e, attempt: e.current}
+}
+
+// MarkSent must succeed before the first byte of the order is written to an
+// upstream. The deadline is compared in the critical section that records the
+// send, so a process that was paused before this call does not send late. A
+// zero deadline means that only the token's expiry bounds the order.
+func (l *Ledger) MarkSent(t Ticket, deadline time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.advance()
+	e := t.entry
+	switch {
+	case e == nil || t.Decision != Start:
+		return result.New(result.Internal, result.NotRun, "the ticket allows no execution")
+	case l.frozen:
+		return result.New(result.OrderFrozen, result.NotRun,
+			"the daemon is stopping and did not send the order")
+	case e.current != t.attempt || e.state() != StatePending:
+		return result.New(result.Internal, result.NotRun, "the attempt has ended or was sent before")
+	case !deadline.IsZero() && !now.Before(deadline):
+		return result.New(result.DeadlineExceeded, result.NotRun,
+			"the deadline passed before the order was sent")
+	case !now.Before(e.expires):
+		return result.New(result.OrderKeyExpired, result.NotRun,
+			"the order token expired before the order was sent")
+	}
+	return e.machine.Fire("mark_sent")
+}
+
+// Finish records the outcome of an attempt and wakes its waiters. It returns
+// the outcome that applies: after a freeze, an order that was not sent stays
+// not run.
+func (l *Ledger) Finish(t Ticket, outcome Outcome) (Outcome, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	e := t.entry
+	if e == nil || t.Decision != Start {
+		return outcome, errors.New("the ticket allows no execution")
+	}
+	if e.current != t.attempt {
+		if outcome.Execution != result.NotRun {
+			return outcome, errors.Errorf("an order ended as %q after its attempt had been closed", outcome.Execution)
+		}
+		return t.attempt.outcome, nil
+	}
+	if outcome.Execution == result.NotRun && outcome.Code == result.OK {
+		outcome.Code = result.Internal
+	}
+	l.settle(e, outcome)
+	return outcome, nil
+}
+
+// settle ends the current attempt of e.
+func (l *Ledger) settle(e *entry, outcome Outcome) {
+	_ = e.machine.Fire(eventOf(outcome.Execution))
+	waiters := e.current
+	e.current = nil
+	if waiters != nil {
+		waiters.outcome = outcome
+		close(waiters.done)
+	}
+	if outcome.Response.size() > l.limits.MaxResponseBytes {
+		outcome = Outcome{
+			Execution: outcome.Execution, Code: result.UpstreamIncomplete,
+			Detail: "the order ran; its response was too large to be kept",
+		}
+	}
+	e.outcome = outcome
+	l.resize(e, e.baseSize()+outcome.Response.size())
+	if l.frozen {
+		l.late = append(l.late, lateEntry{executor: e.book.executor, entry: e.export()})
+	}
+	if e.index < 0 {
+		l.remove(e) // it expired while it was in progress
+	}
+}
+
+func eventOf(x result.Execution) string {
+	switch x {
+	case result.Ran:
+		return "ran"
+	case result.NotRun:
+		return "not_run"
+	}
+	return "unknown"
+}
+
+// Wait returns the outcome of an order that is in progress. If ctx ends first,
+// the order may still be executed.
+func (l *Ledger) Wait(ctx context.Context, t Ticket) (Outcome, error) {
+	if t.attempt == nil {
+		return Outcome{}, errors.New("the ticket has nothing to wait for")
+	}
+	select {
+	case <-t.attempt.done:
+		return t.attempt.outcome, nil
+	case <-ctx.Done():
+		return Outcome{}, result.Wrap(ctx.Err(), result.OrderInProgress, result.Unknown,
+			"the order is still being executed")
+	}
+}
+
+// Stats returns the ledger's gauges.
+func (l *Ledger) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Stats{Entries: l.count, Bytes: l.bytes, Frozen: l.frozen}
+}
