Add the policy benchmark

Cause: the routing, admission and retry targets need figures. Change: test/bench/policy, a model of 20 engines in virtual time.

--- /dev/null
+++ b/test/bench/policy/fleet.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/routing"
+)
+
+const (
+	engines = 20
+	daemons = 6
+	// reportAge is the age of load reports when daemons get them.
+	reportAge      = 5 * time.Second
+	reportInterval = time.Second
+	// eventDelay and eventLoss make cache events late and gappy.
+	eventDelay = 2 * time.Second
+	eventLoss  = 0.2
+	// crossDelay is the one-way delay between data centres; the delay inside
+	// one is neglected.
+	crossDelay = 2 * time.Millisecond
+)
+
+var (
+	dataCentres = [...]string{"dc1", "dc2", "dc3"}
+	// prices per hour of data centres, relative.
+	dcPrice = [...]float64{1, 1.2, 0.8}
+	// machine classes: prompt tokens per second, price per hour, cache tokens.
+	classSpeed = [...]float64{6000, 9000, 14000}
+	classPrice = [...]float64{1, 1.4, 2.2}
+	classCache = [...]int{120_000, 160_000, 240_000}
+	// classOf gives 8, 8 and 4 engines of the classes in every group of five.
+	classOf = [...]int{0, 1, 0, 1, 2}
+)
+
+// policy builds the scheduler of one daemon.
+type policy struct {
+	name string
+	make func(f *fleet, r *rand.Rand) (*routing.Scheduler, *routing.PrefixIndex)
+}
+
+// fleet is the model of engines and daemons.
+type fleet struct {
+	t       *timeline
+	r       *rand.Rand // for losses and the choice of daemons
+	engines map[string]*engine
+	order   []*engine
+	daemons []*daemon
+	m       *metrics
+}
+
+// daemon has its own candidates, index and scheduler.
+type daemon struct {
+	f          *fleet
+	dc         string
+	scheduler  *routing.Scheduler
+	index      *routing.PrefixIndex
+	candidates []*routing.Candidate
+}
+
+func newFleet(p policy, seed uint64) *fleet {
+	f := &fleet{
+		t: newTimeline(), r: rand.New(rand.NewPCG(seed, 2)),
+		engines: make(map[string]*engine), m: newMetrics(),
+	}
+	for i := range engines {
+		dc, class := i%len(dataCentres), classOf[i%len(classOf)]
+		e := newEngine(f.t, routing.Upstream{
+			Name: fmt.Sprintf("engine-%02d", i), Service: "model", Version: "v1",
+			DataCentre:   dataCentres[dc],
+			MachineClass: fmt.Sprintf("class-%d", class),
+			PricePerHour: dcPrice[dc] * classPrice[class],
+		}, classSpeed[class], classCache[class])
+		e.onStore, e.onPrompt = f.cacheEvent, f.m.prompt
+		f.engines[e.Name] = e
+		f.order = append(f.order, e)
+	}
+	for i := range daemons {
+		d := &daemon{f: f, dc: dataCentres[i%len(dataCentres)]}
+		d.scheduler, d.index = p.make(f, rand.New(rand.NewPCG(seed, 100+uint64(i))))
+		for _, e := range f.order {
+			d.candidates = append(d.candidates, routing.NewCandidate(e.Upstream))
+		}
+		f.daemons = append(f.daemons, d)
+	}
+	f.t.every(reportInterval, f.report)
+	return f
+}
+
+// report sends every engine's load to all daemons, reportAge late.
+func (f *fleet) report() {
+	loads := make([]routing.Load, len(f.order))
+	for i, e := range f.order {
+		loads[i] = e.load()
+	}
+	f.t.after(reportAge, func() {
+		for _, d := range f.daemons {
+			for i, c := range d.candidates {
+				c.SetReportedLoad(loads[i])
+			}
+		}
+	})
+}
+
+func (f *fleet) cacheEvent(e *engine, stored, evicted []uint64) {
+	for _, d := range f.daemons {
+		if d.index == nil || f.r.Float64() < eventLoss {
+			continue
+		}
+		f.t.after(eventDelay, func() {
+			d.index.Learn(e.Name, stored, f.t.clock.Now())
+			d.index.Forget(e.Name, evicted)
+		})
+	}
+}
+
+func (d *daemon) request(j *job) routing.Request {
+	return routing.Request{
+		Service: "model", Version: "v1", Class: j.class, Account: j.account,
+		Blocks: j.blocks, BlockWork: blockTokens, Work: float64(j.prompt), DataCentre: d.dc,
+	}
+}
+
+// send picks an engine for j and runs it there. The returned candidate is nil
+// if no pick was possible. firstToken and finished may be nil.
+func (d *daemon) send(j *job, firstToken, finished func(c *routing.Candidate)) *routing.Candidate {
+	decision, err := d.scheduler.Pick(context.Background(), d.request(j), d.candidates)
+	if err != nil {
+		return nil
+	}
+	c := decision.Candidate
+	attempt := c.Begin(decision.Work)
+	e := d.f.engines[c.Name]
+	var delay time.Duration
+	if c.DataCentre != d.dc {
+		delay = crossDelay
+	}
+	sent := d.f.t.now
+	d.f.m.picked(e, sent)
+	j.firstToken = func() {
+		load := e.load()
+		d.f.t.after(delay, func() {
+			attempt.FirstByte()
+			c.SetReplyLoad(load)
+			c.ObserveRate(float64(j.prompt-j.cached), d.f.t.now-sent)
+			d.f.m.firstToken(j, d.f.t.now)
+			if firstToken != nil {
+				firstToken(c)
+			}
+		})
+	}
+	j.finished = func() {
+		d.f.t.after(delay, func() {
+			attempt.End()
+			if finished != nil {
+				finished(c)
+			}
+		})
+	}
+	d.f.t.after(delay, func() { e.submit(j) })
+	return c
+}
+
+// arrivals feeds the generator's requests to random daemons.
+func (f *fleet) arrivals(g *generator, handle func(d *daemon, j *job)) {
+	f.t.after(g.gap(f.t.now), func() {
+		j := g.mix.next(g)
+		j.arrival = f.t.now
+		handle(f.daemons[f.r.IntN(len(f.daemons))], j)
+		f.arrivals(g, handle)
+	})
+}
--- /dev/null
+++ b/test/bench/policy/outage.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/retry"
+)
+
+const (
+	amplificationBound = 1.2
+	outageRate         = 200 // requests per second
+	outageLength       = 60 * time.Second
+	// failureTime is how long a failing attempt takes.
+	failureTime = 20 * time.Millisecond
+)
+
+// runOutage offers requests while every attempt fails and counts attempts.
+func runOutage(r *report, o options) {
+	full := outage(o.Seed, 1)
+	r.atMost("attempts per request, full outage", full, amplificationBound, "", full, "no retries")
+	half := outage(o.Seed, 0.5)
+	r.atMost("attempts per request, half of the attempts fail", half, amplificationBound, "", half, "no retries")
+}
+
+func outage(seed uint64, failures float64) float64 {
+	t := newTimeline()
+	random := rand.New(rand.NewPCG(seed, 4))
+	budget := retry.NewBudget(retry.BudgetConfig{Clock: t.clock})
+	policy := retry.NewPolicy(retry.PolicyConfig{Clock: t.clock}, budget)
+	attempts := 0
+	var attempt func(a retry.Attempt)
+	attempt = func(a retry.Attempt) {
+		attempts++
+		t.after(failureTime, func() {
+			if random.Float64() >= failures {
+				return
+			}
+			wait, err := policy.Next(a)
+			if err != nil {
+				return
+			}
+			a.Number++
+			t.after(wait, func() { attempt(a) })
+		})
+	}
+	requests := int(outageRate * outageLength.Seconds())
+	for i := range requests {
+		t.after(time.Duration(i)*time.Second/outageRate, func() {
+			budget.Offer()
+			attempt(retry.Attempt{Number: 1, Idempotent: true, BytesWritten: true, Class: object.ClassShort})
+		})
+	}
+	t.runUntil(2 * outageLength)
+	return float64(attempts) / float64(requests)
+}
