Test the membership decisions under random faults

Cause: the member list must converge after cuts, losses, freezes and restarts, and a live member must not stay dead.

Change: a property test over random interleavings of probes, losses, partitions, freezes, stops, restarts and departures on a fake clock, and one test for each rule of the list and the overlay.

--- /dev/null
+++ b/pkg/membership/list_test.go
@@ -0,0 +1,253 @@
+package membership_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/membership"
+)
+
+// settleTime is enough for suspicions, refutations and a search of each node.
+const settleTime = 90 * time.Second
+
+// Guards against lists that don't converge after faults, live members that stay
+// dead for ever, stopped ones that come back, and incarnations that fall.
+func TestListsConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(2, 8).Draw(t, "size")
+		c := newCluster(size, rapid.Uint64().Draw(t, "seed"))
+		incarnations := make(map[[2]string]uint64)
+		place := rapid.IntRange(0, size-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) {
+				c.run(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+			},
+			"partition": func(t *rapid.T) {
+				c.nodes[place.Draw(t, "place")].side = rapid.IntRange(0, 2).Draw(t, "side")
+			},
+			"drop":   func(t *rapid.T) { c.drop = rapid.Float64Range(0, 0.7).Draw(t, "share") },
+			"freeze": func(t *rapid.T) { n := c.nodes[place.Draw(t, "place")]; n.frozen = !n.frozen },
+			"stop":   func(t *rapid.T) { c.nodes[place.Draw(t, "place")].stopped = true },
+			"restart": func(t *rapid.T) {
+				p := place.Draw(t, "place")
+				side := c.nodes[p].side
+				c.nodes[p].stopped = true
+				c.start(p).side = side
+			},
+			"overload": func(t *rapid.T) {
+				c.nodes[place.Draw(t, "place")].SetSelf(func(m *membership.Member) { m.Overloaded = !m.Overloaded })
+			},
+			"leave": func(t *rapid.T) { c.nodes[place.Draw(t, "place")].SetLeaving() },
+			"":      func(t *rapid.T) { checkIncarnations(t, c, incarnations) },
+		})
+		c.drop = 0
+		for _, n := range c.nodes {
+			n.side, n.frozen = 0, false
+		}
+		if c.nodes[0].stopped { // the seed is needed by nodes that know nobody
+			c.start(0)
+		}
+		c.run(settleTime)
+		checkIncarnations(t, c, incarnations)
+		if d := c.difference(); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+func checkIncarnations(t *rapid.T, c *cluster, seen map[[2]string]uint64) {
+	for _, n := range c.nodes {
+		for _, m := range n.Members() {
+			key := [2]string{n.Self().DaemonID, m.DaemonID}
+			if m.Incarnation < seen[key] {
+				t.Fatalf("%s saw the incarnation of %s fall from %d to %d", key[0], key[1], seen[key], m.Incarnation)
+			}
+			seen[key] = m.Incarnation
+		}
+	}
+}
+
+func settled(t *testing.T, size int) *cluster {
+	t.Helper()
+	c := newCluster(size, 7)
+	c.run(30 * time.Second)
+	if d := c.difference(); d != "" {
+		t.Fatal(d)
+	}
+	return c
+}
+
+// Guards against a death that takes too long to be declared, and against one
+// that is declared before the suspect had time to refute.
+func TestDeathIsDetectedInTime(t *testing.T) {
+	c := settled(t, 8)
+	c.nodes[5].stopped = true
+	c.run(2 * time.Second)
+	if m, _ := c.nodes[0].Member(c.nodes[5].Self().DaemonID); m.State.Gone() {
+		t.Error("declared dead before the suspicion time-out")
+	}
+	c.run(4 * time.Second)
+	if d := c.difference(); d != "" {
+		t.Errorf("6 s after the death: %s", d)
+	}
+}
+
+// Guards against a record from before a death that brings the member back.
+func TestOldGossipDoesNotRevive(t *testing.T) {
+	c := settled(t, 4)
+	old := c.nodes[3].Self()
+	c.nodes[3].stopped = true
+	c.run(10 * time.Second)
+	a, b := c.nodes[0], c.nodes[1].Self()
+	stale := membership.Message{Sender: b, Updates: []membership.Member{old}}
+	reply := a.Answer(stale)
+	if m, _ := a.Member(old.DaemonID); m.State != membership.Dead {
+		t.Errorf("state after old gossip is %v", m.State)
+	}
+	corrected := false
+	for _, m := range reply.Updates {
+		corrected = corrected || m.DaemonID == old.DaemonID && m.State == membership.Dead
+	}
+	if !corrected {
+		t.Error("the sender of the old record isn't corrected")
+	}
+	c.clock.Advance(membership.DefaultRetention)
+	a.Tick()
+	if _, kept := a.Member(old.DaemonID); kept {
+		t.Error("the dead member is kept longer than the retention")
+	}
+	old.State = membership.Dead
+	a.Answer(membership.Message{Sender: b, Updates: []membership.Member{old}})
+	if _, kept := a.Member(old.DaemonID); kept {
+		t.Error("a gone member that was forgotten is stored again")
+	}
+}
+
+// Guards against a predecessor whose clock was ahead and that therefore hides
+// the process that now runs at its place.
+func TestRestartWithEarlierClockSupersedes(t *testing.T) {
+	c := settled(t, 4)
+	for range 3 { // raises the incarnation far above the clock
+		self := c.nodes[2].Self()
+		self.Incarnation += 1_000_000
+		self.State = membership.Suspect
+		c.nodes[2].Answer(membership.Message{Sender: c.nodes[1].Self(), Updates: []membership.Member{self}})
+	}
+	c.run(10 * time.Second)
+	old := c.nodes[2].Self()
+	c.nodes[2].stopped = true
+	c.start(2)
+	// Shorter than the suspicion time-out, after which the predecessor is dead anyhow.
+	c.run(2 * time.Second)
+	if d := c.difference(); d != "" {
+		t.Error(d)
+	}
+	old.Incarnation++ // refuted just before it stopped
+	c.nodes[0].Answer(membership.Message{Sender: c.nodes[1].Self(), Updates: []membership.Member{old}})
+	if d := c.difference(); d != "" {
+		t.Errorf("after late gossip about the predecessor: %s", d)
+	}
+}
+
+// Guards against a suspect that is alive and doesn't refute in time.
+func TestSuspectRefutes(t *testing.T) {
+	c := settled(t, 8)
+	m := c.nodes[4].Self()
+	m.State = membership.Suspect
+	c.nodes[0].Answer(membership.Message{Sender: c.nodes[1].Self(), Updates: []membership.Member{m}})
+	c.run(5 * time.Second)
+	if d := c.difference(); d != "" || c.nodes[4].givenUp != 0 {
+		t.Errorf("%s; given up %d times", d, c.nodes[4].givenUp)
+	}
+}
+
+// Guards against two sides of a healed cut that find each other only through seeds.
+func TestSidesMeetThroughLostMembers(t *testing.T) {
+	c := settled(t, 8)
+	c.noSeeds = true
+	for place := range 3 {
+		c.nodes[place].side = 1
+	}
+	c.run(20 * time.Second)
+	for place := range 3 {
+		c.nodes[place].side = 0
+	}
+	c.run(30 * time.Second)
+	if d := c.difference(); d != "" {
+		t.Error(d)
+	}
+	if c.nodes[0].givenUp == 0 || c.nodes[7].givenUp == 0 {
+		t.Error("a member wasn't told that the other side had declared it dead")
+	}
+}
+
+// Guards against a paused process that declares the others dead when it wakes,
+// because their suspicions ended during the pause.
+func TestPauseProlongsSuspicions(t *testing.T) {
+	c := settled(t, 4)
+	paused, other := c.nodes[0], c.nodes[1].Self()
+	suspicion := other
+	suspicion.State = membership.Suspect
+	paused.Answer(membership.Message{Sender: c.nodes[2].Self(), Updates: []membership.Member{suspicion}})
+	c.clock.Advance(time.Minute)
+	paused.Tick()
+	if m, _ := paused.Member(other.DaemonID); m.State != membership.Suspect {
+		t.Errorf("state after the pause is %v", m.State)
+	}
+	c.clock.Advance(2 * membership.DefaultRetention)
+	paused.Tick()
+	if paused.givenUp != 1 {
+		t.Errorf("given up %d times after a pause longer than the retention", paused.givenUp)
+	}
+}
+
+// Guards against updates that exceed the message bound or never leave the queue.
+func TestUpdatesAreBounded(t *testing.T) {
+	c := settled(t, 8)
+	a, b := c.nodes[0], c.nodes[1]
+	for i := range 100 {
+		m := c.nodes[2].Self()
+		m.DaemonID, m.Name = string(rune('a'+i%26))+string(rune('a'+i/26)), string(rune(i))
+		a.Answer(membership.Message{Sender: c.nodes[2].Self(), Updates: []membership.Member{m}})
+	}
+	carried := 0
+	for range 5000 {
+		updates := a.Request(b.Self().DaemonID).Updates
+		if len(updates) > membership.DefaultUpdateBytes/50 {
+			t.Fatalf("%d updates in a message", len(updates))
+		}
+		carried += len(updates)
+	}
+	if carried < 100 || len(a.Request(b.Self().DaemonID).Updates) != 0 {
+		t.Errorf("%d updates sent, and the queue isn't empty", carried)
+	}
+}
+
+// Guards against a target that is suspected although a helper reaches it.
+func TestIndirectProbePreventsSuspicion(t *testing.T) {
+	c := settled(t, 5)
+	target := c.nodes[4].Self()
+	x := oneWay{c.nodes[0], target.PeerAddress}
+	if !c.nodes[0].Probe(context.Background(), x, target) {
+		t.Error("no helper reached the target")
+	}
+	if m, _ := c.nodes[0].Member(target.DaemonID); m.State != membership.Alive {
+		t.Errorf("state is %v", m.State)
+	}
+}
+
+// oneWay fails the direct exchange with one address.
+type oneWay struct {
+	*node
+	blocked string
+}
+
+func (o oneWay) Exchange(ctx context.Context, to, id string, m membership.Message) (membership.Message, error) {
+	if to == o.blocked {
+		return membership.Message{}, errNoReply
+	}
+	return o.node.Exchange(ctx, to, id, m)
+}
