--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,354 @@
+// Package daemon builds one daemon from its settings and runs it.
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/panjf2000/ants/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/charts"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/audit"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/gossip"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/server"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store/etcdv3"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreamhttp"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/admission"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/membership"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/order"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
+)
+
+// peerIdleTimeout closes connections to daemons that are no longer neighbours.
+const peerIdleTimeout = time.Minute
+
+// Daemon is one daemon process.
+type Daemon struct {
+	settings *settings.Settings
+	clock    clockwork.Clock
+	log      *slog.Logger
+	id       string
+
+	store     store.Store
+	budget    *store.Budget
+	config    *config.Manager
+	operator  *config.Operator
+	trail     *audit.Trail
+	pool      *peer.Pool
+	gossip    *gossip.Gossip
+	directory *upstreams.Directory
+	admission *admission.Controller
+	engine    engine.Engine
+	app       app.Caller
+	checker   upstreams.Checker
+	signer    *order.Signer
+	ledger    *order.Ledger
+	proxy     *proxy.Proxy
+	server    *server.Server
+	calls     *ants.Pool
+	runner    *duty.Runner
+	grpc      *grpc.Server
+
+	mu        sync.Mutex
+	chart     *statechart.Machine
+	drainOnce sync.Once
+	drained   chan struct{}
+	deadline  time.Time
+}
+
+// New builds a daemon. Nothing runs and nothing is connected before Run.
+func New(s *settings.Settings, log *slog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, clock: clockwork.NewRealClock(), log: log.With("daemon", s.Daemon.Name),
+		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}),
+	}
+	steps := []func() error{d.buildStore, d.buildPeers, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	d.connect()
+	return d, nil
+}
+
+func (d *Daemon) buildStore() error {
+	chart, err := statechart.Load(charts.Files, "daemon")
+	if err != nil {
+		return errors.Wrap(err, "load chart")
+	}
+	d.chart = chart.Machine()
+	client, err := etcdv3.New(etcdv3.Options{Addresses: d.settings.Store.Endpoints, Timeout: d.settings.Store.CallTimeout})
+	if err != nil {
+		return err
+	}
+	d.budget = store.NewBudget(client, store.BudgetOptions{
+		WritesPerSecond: d.settings.Store.WritesPerSecond, ReadsPerSecond: d.settings.Store.ReadsPerSecond, Daemons: 1,
+	})
+	d.store = d.budget
+	d.trail = audit.NewTrail(d.store)
+	return nil
+}
+
+func (d *Daemon) buildPeers() error {
+	d.pool = peer.NewPool(peerIdleTimeout, d.clock.Now)
+	d.gossip = gossip.New(gossip.Config{
+		Self: membership.Member{
+			DaemonID: d.id, Name: d.settings.Daemon.Name, PeerAddress: d.settings.Daemon.PeerAddress,
+			HTTPAddress: d.settings.Daemon.HTTPAddress, DataCentre: d.settings.Daemon.DataCentre,
+			Region: d.settings.Daemon.Region,
+		},
+		Membership: membership.Config{
+			ProbeInterval: d.settings.Peers.ProbeInterval, SuspicionTimeout: d.settings.Peers.SuspectAfter,
+		},
+		Seeds: d.settings.Peers.Seeds, Pool: d.pool, Clock: d.clock, Logger: d.log,
+		ProbeTimeout: d.settings.Peers.ProbeTimeout,
+	})
+	d.config = config.NewManager(config.Options{
+		Store: d.store, Clock: d.clock, Logger: d.log, Daemon: d.settings.Daemon.Name,
+		Broadcaster: broadcaster{d.gossip, d.log},
+		Watches:     func() bool { return d.gossip.Overlay().WatchesStore(d.id) },
+		FetchPeer:   d.peerAhead,
+	})
+	d.operator = config.NewOperator(d.config)
+	return nil
+}
+
+// broadcaster adapts Gossip to the configuration manager.
+type broadcaster struct {
+	gossip *gossip.Gossip
+	log    *slog.Logger
+}
+
+func (b broadcaster) Broadcast(ctx context.Context, item *peerv1.Item) {
+	if err := b.gossip.Broadcast(ctx, item); err != nil {
+		b.log.Warn("item not pushed to all relays", "error", err.Error())
+	}
+}
+
+// peerAhead returns the member with the highest configuration revision.
+func (d *Daemon) peerAhead(context.Context) (peerv1.PeerClient, error) {
+	var best membership.Member
+	for _, m := range d.gossip.Members() {
+		if m.DaemonID != d.id && !m.State.Gone() && m.ConfigRevision >= best.ConfigRevision {
+			best = m
+		}
+	}
+	if best.DaemonID == "" {
+		return nil, errors.New("no other daemon is known")
+	}
+	return d.pool.Client(best.PeerAddress)
+}
+
+func (d *Daemon) buildUpstreams() error {
+	client, err := upstreamhttp.New(d.settings.Upstreams.DialTimeout)
+	if err != nil {
+		return err
+	}
+	d.engine = engine.NewOpenAI(client)
+	d.app = app.NewHTTP(client, int64(d.settings.Limits.MaxStreamBytes))
+	d.checker = upstreamhttp.Checker{Client: client, Path: "/healthz"}
+	d.directory = upstreams.New(upstreams.Options{
+		Clock: d.clock, Self: d.id, DataCentre: d.settings.Daemon.DataCentre,
+		SubsetSize: d.settings.Upstreams.SubsetSize,
+	})
+	d.admission = admission.New(admission.Config{Clock: d.clock, QueueLimit: d.settings.Limits.QueueLength})
+	return nil
+}
+
+func (d *Daemon) buildOrders() error {
+	keys := []order.SecretKey{}
+	for _, k := range [][2]string{
+		{d.settings.Orders.SecretID, d.settings.Orders.Secret},
+		{d.settings.Orders.PreviousSecretID, d.settings.Orders.PreviousSecret},
+	} {
+		if k[1] == "" {
+			continue
+		}
+		secret, err := hex.DecodeString(k[1])
+		if err != nil {
+			return errors.Wrap(err, "decode order secret")
+		}
+		keys = append(keys, order.SecretKey{ID: k[0], Secret: secret})
+	}
+	var err error
+	if d.signer, err = order.NewSigner(keys...); err != nil {
+		return err
+	}
+	limits := order.DefaultLimits()
+	limits.MaxEntries, limits.MaxBytes = d.settings.Orders.MaxEntries, d.settings.Orders.MaxBytes
+	d.ledger, err = order.NewLedger(d.id, d.clock, limits)
+	return err
+}
+
+func (d *Daemon) buildProxy() error {
+	calls, err := ants.NewPool(d.settings.Daemon.UpstreamCalls, ants.WithNonblocking(true))
+	if err != nil {
+		return errors.Wrap(err, "create pool of upstream calls")
+	}
+	d.calls = calls
+	d.proxy = proxy.New(proxy.Options{
+		Clock: d.clock, Log: d.log, Directory: d.directory, Admission: d.admission,
+		Versions: &proxy.RouteVersions{Config: d.config.Current},
+		Engine:   d.engine, App: d.app, Orders: &orderAdapter{d}, Config: d.config.Current,
+		Observe: func(proxy.Observation) {}, Calls: d.calls,
+		RequestTimeout: d.settings.Limits.RequestTimeout, FirstByteTimeout: d.settings.Upstreams.FirstByteTimeout,
+		TokenTimeout: d.settings.Upstreams.TokenTimeout, MigrationDeadline: d.settings.Upstreams.MigrationDeadline,
+		ResumeWindow: d.settings.Limits.ResumeWindow, MaxStreamBytes: d.settings.Limits.MaxStreamBytes,
+		MaxBodyBytes: d.settings.Limits.MaxBodyBytes,
+	})
+	return nil
+}
+
+func (d *Daemon) buildServer() error {
+	d.server = server.New(server.Options{
+		Address: d.settings.Daemon.HTTPAddress, Clock: d.clock, Log: d.log, Proxy: d.proxy,
+		Config: d.config, Operator: d.operator, Trail: d.trail, Daemon: d,
+		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
+		AddressTTL: d.settings.Daemon.AddressTTL, BootstrapKeyHash: d.settings.Operators.BootstrapKeyHash,
+	})
+	d.grpc = grpc.NewServer(peer.ServerOptions()...)
+	peerv1.RegisterPeerServer(d.grpc, &peer.Service{
+		GossipHandler: d.gossip, ConfigHandler: d.config,
+		OrderHandler: notServed{}, StreamHandler: notServed{}, EvidenceHandler: notServed{},
+	})
+	return nil
+}
+
+// notServed answers calls whose handler this build lacks.
+type notServed struct{ peerv1.UnimplementedPeerServer }
+
+// connect joins the parts that call each other.
+func (d *Daemon) connect() {
+	d.config.Subscribe(d.onSnapshot)
+	d.gossip.OnItem(d.onItem)
+	d.gossip.OnLag(func(_ string, revision int64) { d.config.NoteRevision(revision) })
+	d.gossip.OnMembers(func(members []membership.Member) { d.budget.SetDaemons(alive(members)) })
+	d.gossip.OnGivenUp(d.onGivenUp)
+	d.directory.OnNotice(d.shareNotice)
+}
+
+func alive(members []membership.Member) int {
+	n := 0
+	for _, m := range members {
+		if !m.State.Gone() {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+func (d *Daemon) onSnapshot(s *config.Snapshot) {
+	d.directory.Update(s)
+	accounts := make(map[string]admission.Account)
+	s.Set.Each(object.KindClientAccount, func(o *object.Object) {
+		if spec, ok := o.Spec.(*object.ClientAccount); ok {
+			accounts[o.Metadata.Name] = admission.Account{Weight: spec.Weight, MaxInFlight: spec.MaxInFlight}
+		}
+	})
+	d.admission.SetAccounts(accounts)
+	d.admission.SetCapacity(d.directory.Capacity())
+	d.gossip.SetSelf(func(m *membership.Member) { m.ConfigRevision = s.Revision })
+	d.log.Info("configuration in force", "revision", s.Revision, "objects", s.Set.Len())
+}
+
+func (d *Daemon) onItem(item *peerv1.Item) {
+	switch kind := item.GetKind().(type) {
+	case *peerv1.Item_Change:
+		d.config.HandleItem(item)
+	case *peerv1.Item_UpstreamNotice:
+		d.onUpstreamNotice(kind.UpstreamNotice)
+	}
+}
+
+func (d *Daemon) onGivenUp(m membership.Member) {
+	d.log.Warn("other daemons declared this one dead", "incarnation", m.Incarnation)
+	d.fire("declared_dead")
+	d.fire("joined")
+}
+
+// Run serves until ctx ends or a drain is complete.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.Daemon.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d.runner, err = duty.NewRunner(d.settings.Daemon.DutyWorkers, d.clock, d.log); err != nil {
+		return err
+	}
+	if err := d.startDuties(runCtx); err != nil {
+		return err
+	}
+	failed := make(chan error, 2)
+	go func() { failed <- d.grpc.Serve(listener) }()
+	go func() { failed <- d.server.Run() }()
+	d.log.Info("daemon started", "id", d.id, "http", d.settings.Daemon.HTTPAddress, "peers", d.settings.Daemon.PeerAddress)
+	select {
+	case <-ctx.Done():
+		d.Drain(d.settings.Daemon.DrainTimeout)
+		<-d.drained
+	case <-d.drained:
+	case err = <-failed:
+	}
+	d.shutdown(cancel)
+	return err
+}
+
+func (d *Daemon) startDuties(ctx context.Context) error {
+	monitor := &upstreams.Monitor{
+		Directory: d.directory, Engine: d.engine, Checker: d.checker,
+		Interval: d.settings.Upstreams.HealthInterval, LoadInterval: d.settings.Upstreams.LoadInterval,
+	}
+	duties := []duty.Duty{
+		{Name: "membership", Run: d.gossip.Run},
+		{Name: "config-load", Run: d.runConfigLoad},
+		{Name: "config-watch", Run: d.config.WatchStore},
+		{Name: "config-fetch", Run: d.config.RunFetch},
+		{Name: "config-settle", Run: d.config.RunSettler},
+		{Name: "health", Run: monitor.RunChecks},
+		{Name: "capacity", Run: d.runCapacity},
+		{Name: "request-sweep", Run: d.proxy.RunSweep},
+		{Name: "peer-connections", Run: d.runPeerConnections},
+	}
+	for _, one := range duties {
+		if err := d.runner.Start(ctx, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) shutdown(cancel context.CancelFunc) {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	_ = d.server.Shutdown(ctx)
+	d.gossip.Leave(ctx)
+	cancel()
+	d.grpc.Stop()
+	d.runner.Wait()
+	d.calls.Release()
+	d.pool.Close()
+	_ = d.store.Close()
+	d.log.Info("daemon stopped")
+}
--- /dev/null
+++ b/internal/daemon/duties.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/health"
+)
+
+// Intervals of small duties.
+const (
+	capacityInterval  = 500 * time.Millisecond
+	loadRetryInterval = time.Second
+	noticeLifetime    = 10 * time.Minute
+)
+
+// every calls f in each interval until ctx ends.
+func (d *Daemon) every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := d.clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+			f()
+		}
+	}
+}
+
+// runCapacity follows the limits of the upstreams with the admission capacity.
+func (d *Daemon) runCapacity(ctx context.Context) error {
+	return d.every(ctx, capacityInterval, func() {
+		d.directory.Refresh()
+		d.admission.SetCapacity(d.directory.Capacity())
+		d.admission.Sweep()
+	})
+}
+
+func (d *Daemon) runPeerConnections(ctx context.Context) error {
+	return d.every(ctx, peerIdleTimeout/2, d.pool.CloseIdle)
+}
+
+// runConfigLoad reads the configuration at start, from the store or, while the
+// store is down, from a peer. It ends when either has answered.
+func (d *Daemon) runConfigLoad(ctx context.Context) error {
+	d.fire("configured")
+	for d.config.Current().Revision == 0 {
+		err := d.config.LoadStore(ctx)
+		if err == nil {
+			break
+		}
+		d.log.Warn("configuration not loaded from the store", "error", err.Error())
+		if client, err := d.peerAhead(ctx); err == nil {
+			_ = d.config.FetchFrom(ctx, client)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.clock.After(loadRetryInterval):
+		}
+	}
+	d.fire("joined")
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// shareNotice tells the other daemons that an upstream leaves.
+func (d *Daemon) shareNotice(n upstreams.Notice) {
+	d.log.Info("upstream leaves", "upstream", n.Upstream, "signal", string(n.Signal))
+	notice := &peerv1.UpstreamNotice{
+		Upstream: n.Upstream, Address: n.Address, Cause: string(n.Signal),
+		ObservedUnixMs: n.Observed.UnixMilli(), ExpiresUnixMs: n.Observed.Add(noticeLifetime).UnixMilli(),
+	}
+	if !n.Deadline.IsZero() {
+		notice.DeadlineUnixMs = n.Deadline.UnixMilli()
+	}
+	item := &peerv1.Item{Kind: &peerv1.Item_UpstreamNotice{UpstreamNotice: notice}}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), loadRetryInterval)
+		defer cancel()
+		broadcaster{d.gossip, d.log}.Broadcast(ctx, item)
+	}()
+}
+
+func (d *Daemon) onUpstreamNotice(n *peerv1.UpstreamNotice) {
+	notice := upstreams.Notice{
+		Upstream: n.GetUpstream(), Address: n.GetAddress(), Signal: health.Signal(n.GetCause()),
+		Observed: time.UnixMilli(n.GetObservedUnixMs()),
+	}
+	if ms := n.GetDeadlineUnixMs(); ms > 0 {
+		notice.Deadline = time.UnixMilli(ms)
+	}
+	d.directory.Leave(notice)
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,87 @@
+// Package duty runs the long-running loops of a daemon, each on one worker of
+// an ants pool.
+package duty
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/panjf2000/ants/v2"
+	"github.com/pkg/errors"
+)
+
+// restartPause keeps a duty that fails at once from using a whole core.
+const restartPause = time.Second
+
+// Duty is a named loop. Run returns when ctx ends; if it returns earlier, the
+// Runner starts it again after a pause.
+type Duty struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Runner runs duties.
+type Runner struct {
+	pool  *ants.Pool
+	clock clockwork.Clock
+	log   *slog.Logger
+	wait  sync.WaitGroup
+}
+
+// NewRunner returns a runner with the given number of workers. Each duty
+// occupies one worker for its whole life.
+func NewRunner(workers int, clock clockwork.Clock, log *slog.Logger) (*Runner, error) {
+	pool, err := ants.NewPool(workers, ants.WithNonblocking(true), ants.WithDisablePurge(true))
+	if err != nil {
+		return nil, errors.Wrap(err, "create duty pool")
+	}
+	return &Runner{pool: pool, clock: clock, log: log}, nil
+}
+
+// Start runs a duty until ctx ends.
+func (r *Runner) Start(ctx context.Context, d Duty) error {
+	r.wait.Add(1)
+	err := r.pool.Submit(func() {
+		defer r.wait.Done()
+		r.loop(ctx, d)
+	})
+	if err != nil {
+		r.wait.Done()
+		return errors.Wrapf(err, "start duty %s", d.Name)
+	}
+	return nil
+}
+
+func (r *Runner) loop(ctx context.Context, d Duty) {
+	restarts := metrics.GetOrCreateCounter(`rudder_duty_restarts_total{duty="` + d.Name + `"}`)
+	for {
+		err := d.Run(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		restarts.Inc()
+		r.log.Warn("duty ended and is started again", "duty", d.Name, "error", errorText(err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.clock.After(restartPause):
+		}
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Wait returns when all duties have ended.
+func (r *Runner) Wait() {
+	r.wait.Wait()
+	r.pool.Release()
+}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -22,7 +22,7 @@
 
 // Load implements Engine.
 func (o *OpenAI) Load(ctx context.Context, address string) (Load, error) {
-	data, err := o.exchange(ctx, consts.MethodGet, address, "/v1/load", nil, timeoutOf(ctx, controlTimeout))
+	data, err := o.exchange(ctx, consts.MethodGet, address, "/v1/load", nil, timeoutOf(ctx))
 	if err != nil {
 		return Load{}, err
 	}
@@ -35,12 +35,12 @@
 
 // ExportKV implements Engine.
 func (o *OpenAI) ExportKV(ctx context.Context, address, attemptID string) ([]byte, error) {
-	return o.exchange(ctx, consts.MethodGet, address, "/v1/kv/"+attemptID, nil, timeoutOf(ctx, transferTimeout))
+	return o.exchange(ctx, consts.MethodGet, address, "/v1/kv/"+attemptID, nil, timeoutOf(ctx))
 }
 
 // ImportKV implements Engine.
 func (o *OpenAI) ImportKV(ctx context.Context, address, attemptID string, data []byte) error {
-	_, err := o.exchange(ctx, consts.MethodPost, address, "/v1/kv/"+attemptID, data, timeoutOf(ctx, transferTimeout))
+	_, err := o.exchange(ctx, consts.MethodPost, address, "/v1/kv/"+attemptID, data, timeoutOf(ctx))
 	return err
 }
 
@@ -50,15 +50,15 @@
 	if err != nil {
 		return errors.Wrap(err, "encode control order")
 	}
-	_, err = o.exchange(ctx, consts.MethodPost, address, "/v1/control", data, timeoutOf(ctx, controlTimeout))
+	_, err = o.exchange(ctx, consts.MethodPost, address, "/v1/control", data, timeoutOf(ctx))
 	return err
 }
 
-func timeoutOf(ctx context.Context, limit time.Duration) time.Duration {
+func timeoutOf(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
-		return min(limit, time.Until(deadline))
+		return min(exchangeTimeout, time.Until(deadline))
 	}
-	return limit
+	return exchangeTimeout
 }
 
 func (o *OpenAI) exchange(ctx context.Context, method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,8 @@
 	ErrNotSent = errors.New("request not sent")
 	// ErrRefused means that the engine refused the request without running it.
 	ErrRefused = errors.New("engine refused the request")
+	// ErrLeaving is an ErrRefused of an engine that is about to stop.
+	ErrLeaving = errors.WithMessage(ErrRefused, "engine is leaving")
 	// ErrRejected means that the request itself is invalid (4xx).
 	ErrRejected = errors.New("engine rejected the request")
 	// ErrFailed means that the engine answered with a failure.
@@ -47,6 +49,8 @@
 	Content string
 	// CompletionTokens is the count reported in the usage member, -1 if absent.
 	CompletionTokens int
+	// PromptTokens is reported together with CompletionTokens.
+	PromptTokens int
 }
 
 // Load is an engine's load, from a reply or a report.
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -19,8 +19,7 @@
 const (
 	maxEventBytes   = 1 << 20
 	maxErrorBytes   = 4 << 10
-	controlTimeout  = 5 * time.Second
-	transferTimeout = 5 * time.Second
+	exchangeTimeout = 5 * time.Second
 )
 
 // OpenAI is an Engine that speaks the OpenAI-compatible API.
@@ -67,6 +66,8 @@
 	switch {
 	case status == consts.StatusOK:
 		return nil
+	case resp.Header.Get(upstreamhttp.HeaderRefused) == upstreamhttp.RefusedLeaving:
+		return errors.Wrapf(ErrLeaving, "status %d", status)
 	case resp.Header.Get(upstreamhttp.HeaderRefused) != "":
 		return errors.Wrapf(ErrRefused, "status %d: %s", status, resp.Header.Get(upstreamhttp.HeaderRefused))
 	case status >= 400 && status < 500 && status != consts.StatusTooManyRequests && status != consts.StatusRequestTimeout:
@@ -186,6 +187,7 @@
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
 	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
 		CompletionTokens int `json:"completion_tokens"`
 	} `json:"usage"`
 	Error json.RawMessage `json:"error"`
@@ -202,7 +204,7 @@
 	}
 	chunk := Chunk{Data: data, CompletionTokens: -1}
 	if c.Usage != nil {
-		chunk.CompletionTokens = c.Usage.CompletionTokens
+		chunk.CompletionTokens, chunk.PromptTokens = c.Usage.CompletionTokens, c.Usage.PromptTokens
 	}
 	if len(c.Choices) > 0 {
 		chunk.Content = c.Choices[0].Delta.Content
@@ -228,6 +230,6 @@
 	cached, _ := strconv.Atoi(resp.Header.Get("X-Cached-Tokens"))
 	return Load{
 		Running: running, Waiting: waiting, CachedTokens: cached, Known: err == nil,
-		Leaving: resp.Header.Get(upstreamhttp.HeaderRefused) == "leaving",
+		Leaving: resp.Header.Get(upstreamhttp.HeaderRefused) == upstreamhttp.RefusedLeaving,
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
 )
@@ -46,3 +47,12 @@
 }
 
 var _ peerv1.PeerServer = (*Service)(nil)
+
+// ServerOptions returns the options of the gRPC server of a daemon.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+	}
+}
--- /dev/null
+++ b/internal/proxy/appflow.go
@@ -0,0 +1,253 @@
+package proxy
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/retry"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/routing"
+)
+
+// AppCall is a request to an application service as received.
+type AppCall struct {
+	Caller    Caller
+	RequestID string
+	Service   string
+	Method    string
+	Path      string // path and query below /app/{service}
+	Headers   []app.Header
+	Body      []byte
+	OrderKey  string // Idempotency-Key
+	Session   string
+	Deadline  time.Time
+}
+
+// AppReply is the answer to an AppCall.
+type AppReply struct {
+	app.Reply
+	// Replayed means that the reply was stored for an earlier call with the
+	// same key.
+	Replayed bool
+}
+
+// Orders executes non-idempotent calls at most once.
+type Orders interface {
+	// Execute runs the call on the daemon that owns its key. The error is a
+	// *result.Error that tells whether the call ran.
+	Execute(ctx context.Context, call AppCall) (AppReply, error)
+}
+
+// App runs a call to an application service.
+func (p *Proxy) App(ctx context.Context, call AppCall) (AppReply, error) {
+	spec, err := p.serviceOf(call.Service, object.ProtocolHTTP)
+	if err != nil {
+		return AppReply{}, err
+	}
+	operation, err := operationOf(spec, call)
+	if err != nil {
+		return AppReply{}, err
+	}
+	if call.Deadline, err = p.deadlineOf(call.Deadline, spec); err != nil {
+		return AppReply{}, err
+	}
+	if call.RequestID == "" {
+		call.RequestID = newID()
+	}
+	if !operation.Idempotent {
+		if call.OrderKey == "" {
+			return AppReply{}, result.New(result.OrderKeyMissing, result.NotRun,
+				"header Idempotency-Key: operation %s needs a key built from the order token of /v1/address", operation.Name)
+		}
+		return p.options.Orders.Execute(ctx, call)
+	}
+	if err := p.refuseIfDraining(); err != nil {
+		return AppReply{}, err
+	}
+	return p.lookup(ctx, call, spec, operation)
+}
+
+func operationOf(spec *object.Service, call AppCall) (*object.Operation, error) {
+	path, _, _ := strings.Cut(call.Path, "?")
+	for i := range spec.Operations {
+		o := &spec.Operations[i]
+		prefix, wildcard := strings.CutSuffix(o.Path, "*")
+		if o.Method == call.Method && (path == o.Path || wildcard && strings.HasPrefix(path, prefix)) {
+			return o, nil
+		}
+	}
+	return nil, result.New(result.NotFound, result.NotRun, "service %s has no operation %s %s", call.Service, call.Method, path)
+}
+
+// appRun is one call to an application service with what its attempts share.
+type appRun struct {
+	proxy     *Proxy
+	call      AppCall
+	spec      *object.Service
+	operation *object.Operation
+	choice    VersionChoice
+	excluded  []string
+}
+
+func (p *Proxy) newAppRun(call AppCall, spec *object.Service, operation *object.Operation) (*appRun, error) {
+	choice, err := p.options.Versions.Choose(VersionQuery{
+		Service: call.Service, Caller: call.Caller, Class: object.ClassShort,
+		Operation: operation.Name, Session: call.Caller.Account + "/" + call.Session,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &appRun{proxy: p, call: call, spec: spec, operation: operation, choice: choice}, nil
+}
+
+// lookup runs an idempotent call with retries.
+func (p *Proxy) lookup(ctx context.Context, call AppCall, spec *object.Service, operation *object.Operation) (AppReply, error) {
+	run, err := p.newAppRun(call, spec, operation)
+	if err != nil {
+		return AppReply{}, err
+	}
+	ticket, err := p.options.Admission.Admit(ctx, call.Caller.Account, object.ClassShort, 0, call.Deadline, 1)
+	if err != nil {
+		return AppReply{}, err
+	}
+	defer ticket.Done()
+	policy := p.policyOf(call.Service, spec)
+	policy.budget.Offer()
+	for number := 1; ; number++ {
+		reply, outcome, err := run.once(ctx)
+		if err == nil {
+			ticket.FirstByte()
+			return AppReply{Reply: reply}, nil
+		}
+		wait, policyErr := policy.policy.Next(retry.Attempt{
+			Number: number, Idempotent: true, Class: object.ClassShort, Deadline: call.Deadline,
+			BytesWritten: outcome != app.NotSent, Refused: outcome == app.Refused,
+		})
+		if policyErr != nil {
+			return AppReply{}, withCause(policyErr, err)
+		}
+		select {
+		case <-ctx.Done():
+			return AppReply{}, deadlineError(ctx)
+		case <-p.options.Clock.After(wait):
+		}
+	}
+}
+
+// once makes one attempt. A reply with status 5xx counts as an answer of the
+// service but as a failure in health and move evidence.
+func (r *appRun) once(ctx context.Context) (app.Reply, app.Outcome, error) {
+	p := r.proxy
+	upstream, err := r.pick(ctx)
+	if err != nil {
+		return app.Reply{}, app.NotSent, err
+	}
+	reply, outcome, err := p.options.App.Call(ctx, app.Call{
+		Address: upstream.Address, AttemptID: newID(), Method: r.call.Method, Path: r.call.Path,
+		Headers: r.upstreamHeaders(), Body: r.call.Body, Timeout: r.call.Deadline.Sub(p.options.Clock.Now()),
+	})
+	if outcome == app.Answered {
+		upstream.FirstByte()
+	} else {
+		r.excluded = append(r.excluded, upstream.Name)
+	}
+	r.account(upstream, reply, outcome, err)
+	return reply, outcome, err
+}
+
+func (r *appRun) pick(ctx context.Context) (*upstreams.Attempt, error) {
+	request := routing.Request{
+		Service: r.call.Service, Version: r.choice.Version, Class: object.ClassShort,
+		Account: r.call.Caller.Account, Work: 1, Deadline: r.call.Deadline, Excluded: r.excluded,
+	}
+	upstream, err := r.proxy.options.Directory.Pick(ctx, request)
+	if err != nil && len(r.excluded) > 0 {
+		request.Excluded = nil
+		return r.proxy.options.Directory.Pick(ctx, request)
+	}
+	return upstream, err
+}
+
+func (r *appRun) upstreamHeaders() []app.Header {
+	headers := append([]app.Header{}, r.call.Headers...)
+	if r.call.OrderKey != "" {
+		headers = append(headers, app.Header{Name: "Idempotency-Key", Value: r.call.OrderKey})
+	}
+	return headers
+}
+
+func (r *appRun) account(u *upstreams.Attempt, reply app.Reply, outcome app.Outcome, err error) {
+	failed := outcome == app.Lost || outcome == app.NotSent || reply.Status >= 500
+	switch {
+	case outcome == app.Refused:
+		u.End(upstreams.FailureOverload)
+		if strings.HasSuffix(err.Error(), ": leaving") {
+			r.proxy.options.Directory.Leave(u.RefusalNotice())
+		}
+		return
+	case failed:
+		u.End(upstreams.FailureError)
+	default:
+		u.End(upstreams.FailureNone)
+	}
+	r.proxy.options.Observe(Observation{
+		Service: r.call.Service, Route: r.choice.Route, Version: u.Version, DataCentre: u.DataCentre,
+		Upstream: u.Name, Account: r.call.Caller.Account, Failed: failed, Latency: u.FirstLatency(),
+	})
+}
+
+// SendOrder makes the single attempt of a non-idempotent call. markSent is
+// called directly before the request is sent; its error stops the attempt.
+// refused attempts on one upstream are followed by others, because a refusal
+// and a failed connection prove that nothing ran.
+func (p *Proxy) SendOrder(ctx context.Context, call AppCall, markSent func() error) (app.Reply, app.Outcome, error) {
+	spec, err := p.serviceOf(call.Service, object.ProtocolHTTP)
+	if err != nil {
+		return app.Reply{}, app.NotSent, err
+	}
+	operation, err := operationOf(spec, call)
+	if err != nil {
+		return app.Reply{}, app.NotSent, err
+	}
+	run, err := p.newAppRun(call, spec, operation)
+	if err != nil {
+		return app.Reply{}, app.NotSent, err
+	}
+	ticket, err := p.options.Admission.Admit(ctx, call.Caller.Account, object.ClassShort, 0, call.Deadline, 1)
+	if err != nil {
+		return app.Reply{}, app.NotSent, err
+	}
+	defer ticket.Done()
+	if err := markSent(); err != nil {
+		return app.Reply{}, app.NotSent, err
+	}
+	policy := p.policyOf(call.Service, spec)
+	policy.budget.Offer()
+	return run.untilSent(ctx, policy.policy)
+}
+
+// untilSent repeats attempts that provably did not run.
+func (r *appRun) untilSent(ctx context.Context, policy *retry.Policy) (app.Reply, app.Outcome, error) {
+	for number := 1; ; number++ {
+		reply, outcome, err := r.once(ctx)
+		if outcome == app.Answered || outcome == app.Lost {
+			return reply, outcome, err
+		}
+		wait, policyErr := policy.Next(retry.Attempt{
+			Number: number, BytesWritten: outcome == app.Refused, Refused: outcome == app.Refused,
+			Class: object.ClassShort, Deadline: r.call.Deadline,
+		})
+		if policyErr != nil {
+			return reply, outcome, withCause(policyErr, err)
+		}
+		select {
+		case <-ctx.Done():
+			return reply, outcome, err
+		case <-r.proxy.options.Clock.After(wait):
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/chatflow.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/retry"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/routing"
+)
+
+// bytesPerToken estimates the number of tokens of a prompt from its size.
+const bytesPerToken = 4
+
+// Priorities sent to engines; a lower number is served first.
+const (
+	priorityShort = 0
+	priorityLong  = 10
+)
+
+// ChatCall is a model request as received.
+type ChatCall struct {
+	Caller    Caller
+	RequestID string // empty: a new one is made
+	Session   string
+	Deadline  time.Time // zero: the service's timeout applies
+	Body      []byte
+}
+
+// Chat starts a model request, or attaches to the one with the same ID.
+func (p *Proxy) Chat(ctx context.Context, call ChatCall) (*Inflight, error) {
+	chat, err := parseChat(call.Body)
+	if err != nil {
+		return nil, err
+	}
+	if call.RequestID == "" {
+		call.RequestID = newID()
+	}
+	if existing := p.registry.get(call.Caller.Account, call.RequestID); existing != nil {
+		if string(existing.Body) != string(call.Body) {
+			return nil, result.New(result.BadHeader, result.NotRun, "X-Request-Id is in use for another request")
+		}
+		return existing, nil
+	}
+	if err := p.refuseIfDraining(); err != nil {
+		return nil, err
+	}
+	return p.startChat(ctx, call, chat)
+}
+
+func (p *Proxy) startChat(ctx context.Context, call ChatCall, chat *chatRequest) (*Inflight, error) {
+	spec, err := p.serviceOf(chat.service, object.ProtocolOpenAI)
+	if err != nil {
+		return nil, err
+	}
+	if spec.MaxBodyBytes > 0 && int64(len(call.Body)) > spec.MaxBodyBytes {
+		return nil, result.New(result.BodyTooLarge, result.NotRun, "the body is larger than %d bytes", spec.MaxBodyBytes)
+	}
+	deadline, err := p.deadlineOf(call.Deadline, spec)
+	if err != nil {
+		return nil, err
+	}
+	f := newInflight(call.RequestID, call.Caller.Account, chat, call.Body, deadline, p.options.Clock.Now())
+	f.Session = sessionOf(call, chat)
+	f, created := p.registry.add(f)
+	if !created {
+		return f, nil
+	}
+	run := &chatRun{proxy: p, inflight: f, caller: call.Caller, spec: spec, class: classOf(spec, chat.promptBytes)}
+	if err := run.start(ctx); err != nil {
+		p.registry.remove(f)
+		f.finish(result.From(err))
+		return nil, err
+	}
+	return f, nil
+}
+
+func sessionOf(call ChatCall, chat *chatRequest) string {
+	switch {
+	case call.Session != "":
+		return call.Caller.Account + "/" + call.Session
+	case chat.user != "":
+		return call.Caller.Account + "/" + chat.user
+	}
+	return call.Caller.Account + "/" + chat.conversationKey()
+}
+
+func classOf(spec *object.Service, promptBytes int) object.RequestClass {
+	limit := spec.ShortPromptBytes
+	if limit == 0 {
+		limit = defaultShortPromptBytes
+	}
+	if promptBytes <= limit {
+		return object.ClassShort
+	}
+	return object.ClassLong
+}
+
+// defaultShortPromptBytes separates questions from documents where a service
+// sets no bound; about 500 tokens.
+const defaultShortPromptBytes = 2048
+
+// chatRun runs the attempts of one model request.
+type chatRun struct {
+	proxy    *Proxy
+	inflight *Inflight
+	caller   Caller
+	spec     *object.Service
+	class    object.RequestClass
+	choice   VersionChoice
+	blocks   []uint64
+	excluded []string
+	number   int // attempts that count against the retry limit
+	usage    usage
+
+	kvMu sync.Mutex
+	kv   []byte // KV cache exported from a leaving upstream
+}
+
+// start admits the request and runs it on the pool of upstream calls.
+func (r *chatRun) start(ctx context.Context) error {
+	p := r.proxy
+	if err := r.choose(); err != nil {
+		return err
+	}
+	cost := float64(r.inflight.chat.promptBytes) / bytesPerToken
+	ticket, err := p.options.Admission.Admit(ctx, r.caller.Account, r.class, r.priority(), r.inflight.Deadline, cost)
+	if err != nil {
+		return err
+	}
+	runCtx, cancel := context.WithDeadline(context.Background(), r.inflight.Deadline)
+	r.inflight.cancel = cancel
+	if err := p.register(r.inflight); err != nil {
+		cancel()
+		ticket.Done()
+		return err
+	}
+	err = p.options.Calls.Submit(func() {
+		defer cancel()
+		defer ticket.Done()
+		r.run(runCtx, ticket.FirstByte)
+	})
+	if err != nil {
+		cancel()
+		ticket.Done()
+		return result.Wrap(err, result.Overloaded, result.NotRun, "too many upstream calls are running").WithRetryAfter(1)
+	}
+	return nil
+}
+
+func (r *chatRun) priority() int {
+	if r.caller.Spec == nil {
+		return 0
+	}
+	return r.caller.Spec.Priority
+}
+
+func (r *chatRun) enginePriority() int {
+	if r.class == object.ClassShort {
+		return priorityShort - r.priority()
+	}
+	return priorityLong - r.priority()
+}
+
+func (r *chatRun) choose() error {
+	choice, err := r.proxy.options.Versions.Choose(VersionQuery{
+		Service: r.inflight.Service, Caller: r.caller, Class: r.class, Session: r.inflight.Session,
+	})
+	if err != nil {
+		return err
+	}
+	r.choice = choice
+	r.blocks = routing.BlockHashes(choice.Version, r.inflight.chat.promptText(), upstreams.BlockBytes)
+	return nil
+}
+
+// run makes attempts until the answer is whole or nothing more can be done.
+func (r *chatRun) run(ctx context.Context, firstByte func()) {
+	policy := r.proxy.policyOf(r.inflight.Service, r.spec)
+	policy.budget.Offer()
+	for {
+		end := r.attempt(ctx, firstByte)
+		if end.err == nil {
+			r.complete(ctx)
+			return
+		}
+		if end.migrate {
+			r.proxy.metrics.migrations.Inc()
+			continue
+		}
+		if err := r.prepareRetry(ctx, policy, end); err != nil {
+			r.fail(err)
+			return
+		}
+	}
+}
+
+// prepareRetry waits before the next attempt, or returns why there is none.
+func (r *chatRun) prepareRetry(ctx context.Context, policy *servicePolicy, end attemptEnd) error {
+	if end.final {
+		return end.err
+	}
+	r.number++
+	_, tokens := r.inflight.emitted()
+	wait, err := policy.policy.Next(retry.Attempt{
+		Number: r.number, Idempotent: true, Class: r.class, BytesWritten: end.written,
+		Refused: end.refused, Emitted: tokens > 0, Resumable: true, Deadline: r.inflight.Deadline,
+	})
+	if err != nil {
+		return withCause(err, end.err)
+	}
+	if errors.Is(end.err, engine.ErrFailed) || errors.Is(end.err, engine.ErrIncomplete) {
+		r.rechoose()
+	}
+	select {
+	case <-ctx.Done():
+		return deadlineError(ctx)
+	case <-r.proxy.options.Clock.After(wait):
+		return nil
+	}
+}
+
+// rechoose follows a verdict on the version that was reached while the request
+// was running.
+func (r *chatRun) rechoose() {
+	if err := r.choose(); err != nil {
+		r.proxy.options.Log.Debug("version choice kept", "request", r.inflight.ID, "error", err.Error())
+	}
+}
+
+func withCause(err, cause error) error {
+	e := result.From(err)
+	wrapped := result.Wrap(cause, e.Code, e.Execution, "%s", e.Detail)
+	return wrapped.WithRetryAfter(e.RetryAfterSeconds)
+}
+
+func deadlineError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.New(result.DeadlineExceeded, result.Unknown, "the deadline passed before the answer was complete")
+	}
+	return result.New(result.StreamGone, result.Unknown, "the request was cancelled because no caller was connected")
+}
+
+func (r *chatRun) fail(err error) {
+	e := result.From(err)
+	r.proxy.options.Log.Info("request failed", "request", r.inflight.ID, "account", r.inflight.Account,
+		"service", r.inflight.Service, "version", r.choice.Version, "code", int(e.Code), "execution", string(e.Execution),
+		"error", e.Error())
+	r.inflight.finish(e)
+}
+
+// complete emits the usage and ends the stream.
+func (r *chatRun) complete(ctx context.Context) {
+	f := r.inflight
+	if f.chat.includeUsage || !f.chat.stream {
+		chunk := usageChunk{
+			ID: completionID(f.ID), Object: "chat.completion.chunk", Created: f.created.Unix(),
+			Model: f.Service, Choices: []struct{}{}, Usage: r.usage,
+		}
+		if data, err := json.Marshal(chunk); err == nil {
+			if err := f.emit(ctx, data, false); err != nil {
+				r.fail(err)
+				return
+			}
+		}
+	}
+	if err := f.emit(ctx, []byte("[DONE]"), true); err != nil {
+		r.fail(err)
+		return
+	}
+	f.finish(nil)
+}
+
+func completionID(requestID string) string { return "chatcmpl-" + requestID }
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -40,7 +40,6 @@
 	mu      sync.Mutex
 	events  []Event
 	bytes   int
-	tokens  int
 	done    bool
 	failure *result.Error
 	wake    chan struct{} // closed and replaced whenever the fields above change
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,196 @@
+// Package proxy is the request path: it takes authenticated requests, chooses
+// a version and an upstream, runs attempts and keeps what is needed to finish
+// a request on another upstream or another daemon.
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/panjf2000/ants/v2"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/admission"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/retry"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
+)
+
+// Caller is an authenticated client account.
+type Caller struct {
+	Account string
+	Labels  map[string]string
+	Spec    *object.ClientAccount
+}
+
+// Observation is the evidence that one attempt gives about a version.
+type Observation struct {
+	Service    string
+	Route      string
+	Version    string
+	DataCentre string
+	Upstream   string
+	Account    string
+	Failed     bool
+	// Latency is the time to the first byte; 0 if the attempt failed before it.
+	Latency time.Duration
+}
+
+// Versions chooses the version that serves a request.
+type Versions interface {
+	// Choose returns the route and version for a request. The error is a
+	// *result.Error with execution "not run".
+	Choose(q VersionQuery) (VersionChoice, error)
+}
+
+// VersionQuery describes a request that needs a version.
+type VersionQuery struct {
+	Service   string
+	Caller    Caller
+	Class     object.RequestClass
+	Operation string
+	Session   string
+}
+
+// VersionChoice is the route that applies and the version it gives.
+type VersionChoice struct {
+	Route   string
+	Version string
+}
+
+// Options configure a Proxy.
+type Options struct {
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Directory *upstreams.Directory
+	Admission *admission.Controller
+	Versions  Versions
+	Engine    engine.Engine
+	App       app.Caller
+	Orders    Orders
+	Config    func() *config.Snapshot
+	Observe   func(Observation)
+	Calls     *ants.Pool
+	Request   *statechart.Chart
+	Attempt   *statechart.Chart
+
+	RequestTimeout    time.Duration
+	FirstByteTimeout  time.Duration
+	TokenTimeout      time.Duration
+	MigrationDeadline time.Duration
+	ResumeWindow      time.Duration
+	MaxStreamBytes    int
+	MaxBodyBytes      int
+}
+
+// Proxy is safe for concurrent use.
+type Proxy struct {
+	options  Options
+	registry *registry
+	keeper   Keeper
+	metrics  *proxyMetrics
+
+	mu       sync.Mutex
+	policies map[string]*servicePolicy
+	draining bool
+	gate     Gate
+	onStart  func(*Inflight) error
+}
+
+type servicePolicy struct {
+	spec   *object.Service
+	budget *retry.Budget
+	policy *retry.Policy
+}
+
+// New returns a proxy.
+func New(options Options) *Proxy {
+	return &Proxy{
+		options: options, registry: newRegistry(), metrics: newProxyMetrics(),
+		policies: make(map[string]*servicePolicy),
+	}
+}
+
+// policyOf returns the retry policy of a service; its budget is kept while the
+// service's specification is unchanged.
+func (p *Proxy) policyOf(service string, spec *object.Service) *servicePolicy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if existing := p.policies[service]; existing != nil && existing.spec == spec {
+		return existing
+	}
+	ratio := float64(spec.RetryPercent) / 100
+	if spec.RetryPercent == 0 {
+		ratio = retry.MaxRatio
+	}
+	budget := retry.NewBudget(retry.BudgetConfig{Clock: p.options.Clock, Ratio: ratio})
+	created := &servicePolicy{spec: spec, budget: budget, policy: retry.NewPolicy(
+		retry.PolicyConfig{Clock: p.options.Clock, HedgeAfter: time.Duration(spec.HedgeAfter)}, budget)}
+	p.policies[service] = created
+	return created
+}
+
+// serviceOf looks up a service of a protocol.
+func (p *Proxy) serviceOf(name string, protocol object.Protocol) (*object.Service, error) {
+	spec, _, ok := object.Lookup[*object.Service](p.options.Config().Set, object.KindService, name)
+	if !ok || spec.Protocol != protocol {
+		return nil, result.New(result.UnknownService, result.NotRun, "no %s service is named %q", protocol, name)
+	}
+	return spec, nil
+}
+
+// deadlineOf returns the deadline of a request; asked is the caller's.
+func (p *Proxy) deadlineOf(asked time.Time, spec *object.Service) (time.Time, error) {
+	now := p.options.Clock.Now()
+	if !asked.IsZero() {
+		if !asked.After(now) {
+			return time.Time{}, result.New(result.DeadlineTooShort, result.NotRun, "the request's deadline has passed")
+		}
+		return asked, nil
+	}
+	if spec.Timeout > 0 {
+		return now.Add(time.Duration(spec.Timeout)), nil
+	}
+	return now.Add(p.options.RequestTimeout), nil
+}
+
+// refuseIfDraining returns an error while the daemon stops.
+func (p *Proxy) refuseIfDraining() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		return result.New(result.Draining, result.NotRun, "the daemon is stopping")
+	}
+	return nil
+}
+
+// Requests returns the number of unfinished model requests.
+func (p *Proxy) Requests() int { return len(p.registry.running()) }
+
+// Lookup returns a model request of an account, or nil.
+func (p *Proxy) Lookup(account, id string) *Inflight { return p.registry.get(account, id) }
+
+// RunSweep removes finished requests and cancels abandoned ones until ctx ends.
+func (p *Proxy) RunSweep(ctx context.Context) error {
+	ticker := p.options.Clock.NewTicker(p.options.ResumeWindow / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+			p.registry.sweep(p.options.Clock.Now().Add(-p.options.ResumeWindow))
+		}
+	}
+}
+
+// newID returns a random identifier for requests and attempts.
+func newID() string { return uuid.NewString() }
--- /dev/null
+++ b/internal/server/callers.go
@@ -0,0 +1,212 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	appsvc "github.com/dogwoodrudder/dogwoodrudder/internal/app"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/operatorapi"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+func problemMetric(e *result.Error) string {
+	return `rudder_problems_total{code="` + strconv.Itoa(int(e.Code)) + `",execution="` + string(e.Execution) + `"}`
+}
+
+func (s *Server) address(_ context.Context, c *app.RequestContext, _ proxy.Caller) error {
+	answer := operatorapi.AddressAnswer{
+		Addresses:  s.options.Daemon.Addresses(),
+		TTLSeconds: int(s.options.AddressTTL.Seconds()),
+	}
+	answer.OrderToken, answer.OrderTokenExpires = s.options.Daemon.OrderToken()
+	writeJSON(c, answer)
+	return nil
+}
+
+// deadline reads the request deadline: an RFC 3339 time.
+func deadline(c *app.RequestContext) (time.Time, error) {
+	value := string(c.GetHeader(headerDeadline))
+	if value == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, value)
+	if err != nil {
+		return time.Time{}, result.New(result.BadHeader, result.NotRun, "header %s: %q is not an RFC 3339 time", headerDeadline, value)
+	}
+	return t, nil
+}
+
+func lastEventID(c *app.RequestContext) (int64, error) {
+	value := string(c.GetHeader(headerLastEvent))
+	if value == "" {
+		return 0, nil
+	}
+	id, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || id < 0 {
+		return 0, result.New(result.BadHeader, result.NotRun, "header %s: %q is not an event ID", headerLastEvent, value)
+	}
+	return id, nil
+}
+
+func (s *Server) chat(ctx context.Context, c *app.RequestContext, caller proxy.Caller) error {
+	limit, err := deadline(c)
+	if err != nil {
+		return err
+	}
+	last, err := lastEventID(c)
+	if err != nil {
+		return err
+	}
+	f, err := s.options.Proxy.Chat(ctx, proxy.ChatCall{
+		Caller: caller, RequestID: requestIDOf(c), Session: string(c.GetHeader(headerSession)),
+		Deadline: limit, Body: append([]byte{}, c.Request.Body()...),
+	})
+	if err != nil {
+		return s.withAddresses(err)
+	}
+	detach := s.options.Proxy.Attach(f)
+	defer detach()
+	if f.Streams() {
+		return s.streamEvents(ctx, c, f, last)
+	}
+	return s.wholeAnswer(ctx, c, f)
+}
+
+func (s *Server) resume(ctx context.Context, c *app.RequestContext, caller proxy.Caller) error {
+	last, err := lastEventID(c)
+	if err != nil {
+		return err
+	}
+	f, err := s.options.Proxy.Resume(caller, c.Param("id"))
+	if err != nil {
+		return s.withAddresses(err)
+	}
+	detach := s.options.Proxy.Attach(f)
+	defer detach()
+	if f.Streams() {
+		return s.streamEvents(ctx, c, f, last)
+	}
+	return s.wholeAnswer(ctx, c, f)
+}
+
+// withAddresses adds other daemons to a refusal of a stopping daemon.
+func (s *Server) withAddresses(err error) error {
+	e := result.From(err)
+	if e.Code == result.Draining || e.Code == result.StreamMoved || e.Code == result.OrderFrozen {
+		if len(e.Addresses) == 0 {
+			_ = e.WithAddresses(s.options.Daemon.Addresses())
+		}
+		_ = e.WithRetryAfter(1)
+	}
+	return e
+}
+
+// streamEvents writes server-sent events after the given ID until the stream
+// ends. An error before the first event is answered as a problem document, one
+// after it as an event of type "error".
+func (s *Server) streamEvents(ctx context.Context, c *app.RequestContext, f *proxy.Inflight, last int64) error {
+	progress, err := f.Next(ctx, last)
+	if err != nil {
+		return nil // the caller is gone
+	}
+	if progress.Failure != nil && len(progress.Events) == 0 && last == 0 {
+		return progress.Failure
+	}
+	w := sse.NewWriter(c)
+	for {
+		for _, e := range progress.Events {
+			if w.WriteEvent(strconv.FormatInt(e.ID, 10), "", e.Data) != nil {
+				return nil
+			}
+			last = e.ID
+		}
+		if stop := s.endOfStream(w, f, progress); stop {
+			return nil
+		}
+		if progress, err = f.Next(ctx, last); err != nil {
+			return nil
+		}
+	}
+}
+
+func (s *Server) endOfStream(w *sse.Writer, f *proxy.Inflight, progress proxy.Progress) bool {
+	switch {
+	case progress.Moved != nil:
+		data, _ := json.Marshal(map[string]any{"requestId": f.ID, "addresses": progress.Moved})
+		_ = w.WriteEvent("", "moved", data)
+	case progress.Failure != nil:
+		data, _ := json.Marshal(problemOf(progress.Failure, f.ID))
+		_ = w.WriteEvent("", "error", data)
+	case !progress.Done:
+		return false
+	}
+	_ = w.Close()
+	return true
+}
+
+func (s *Server) wholeAnswer(ctx context.Context, c *app.RequestContext, f *proxy.Inflight) error {
+	body, err := f.Whole(ctx)
+	if err != nil {
+		return s.withAddresses(err)
+	}
+	c.Response.Header.SetContentType("application/json")
+	c.Response.SetBody(body)
+	return nil
+}
+
+func (s *Server) app(ctx context.Context, c *app.RequestContext, caller proxy.Caller) error {
+	limit, err := deadline(c)
+	if err != nil {
+		return err
+	}
+	path := "/" + strings.TrimPrefix(c.Param("path"), "/")
+	if query := c.URI().QueryString(); len(query) > 0 {
+		path += "?" + string(query)
+	}
+	service, err := url.PathUnescape(c.Param("service"))
+	if err != nil {
+		return result.Wrap(err, result.BadRequest, result.NotRun, "service name in the path")
+	}
+	reply, err := s.options.Proxy.App(ctx, proxy.AppCall{
+		Caller: caller, RequestID: requestIDOf(c), Service: service,
+		Method: string(c.Method()), Path: path, Headers: forwardedHeaders(c),
+		Body: append([]byte{}, c.Request.Body()...), OrderKey: string(c.GetHeader(headerOrderKey)),
+		Session: string(c.GetHeader(headerSession)), Deadline: limit,
+	})
+	if err != nil {
+		return s.withAddresses(err)
+	}
+	writeReply(c, reply)
+	return nil
+}
+
+func forwardedHeaders(c *app.RequestContext) []appsvc.Header {
+	var headers []appsvc.Header
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", "If-None-Match"} {
+		if value := c.GetHeader(name); len(value) > 0 {
+			headers = append(headers, appsvc.Header{Name: name, Value: string(value)})
+		}
+	}
+	return headers
+}
+
+func writeReply(c *app.RequestContext, reply proxy.AppReply) {
+	id := requestIDOf(c)
+	for _, h := range reply.Headers {
+		c.Response.Header.Set(h.Name, h.Value)
+	}
+	c.Response.Header.Set(headerRequestID, id)
+	if reply.Replayed {
+		c.Response.Header.Set(headerReplayed, "true")
+	}
+	c.SetStatusCode(reply.Status)
+	c.Response.SetBody(reply.Body)
+}
--- a/internal/server/problem.go
+++ b/internal/server/problem.go
@@ -51,14 +51,13 @@
 	c.Response.SetBody(body)
 }
 
-func writeJSON(c *app.RequestContext, status int, v any) {
+func writeJSON(c *app.RequestContext, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
 		writeProblem(c, err)
 		return
 	}
 	c.Response.Header.SetContentType("application/json")
-	c.SetStatusCode(status)
 	c.Response.SetBody(body)
 }
 
--- a/internal/upstreamhttp/client.go
+++ b/internal/upstreamhttp/client.go
@@ -26,6 +26,9 @@
 // having executed it. Its value is the reason.
 const HeaderRefused = "X-Refused"
 
+// RefusedLeaving is the reason of an upstream that is about to stop.
+const RefusedLeaving = "leaving"
+
 // HeaderAttempt carries the attempt ID; upstreams echo it.
 const HeaderAttempt = "X-Request-Id"
 
--- a/internal/upstreams/attempt.go
+++ b/internal/upstreams/attempt.go
@@ -104,3 +104,11 @@
 	}
 	return "ready"
 }
+
+// RefusalNotice is the leaving notice that an upstream gives by refusing work.
+func (a *Attempt) RefusalNotice() Notice {
+	return Notice{
+		Upstream: a.Name, Address: a.Address, Signal: health.SignalRefusal,
+		Observed: a.directory.options.Clock.Now(),
+	}
+}
