Add the command line of operators and callers

Ruled out: one HTTP client in the command line and another in the load tool; both need the resumption of streams, so that it is in internal/apiclient. Sending a change to the next address after its answer was lost; the first daemon may have stored it.

Streams are resumed with the request ID and Last-Event-ID.

--- /dev/null
+++ b/internal/cli/call.go
@@ -0,0 +1,163 @@
+package cli
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/apiclient"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/operatorapi"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+type whereCmd struct{}
+
+func (c *whereCmd) Run(ctx context.Context, g *Globals) error {
+	var answer operatorapi.AddressAnswer
+	if err := g.call(ctx, http.MethodGet, operatorapi.PathAddress, nil, "", &answer); err != nil {
+		return err
+	}
+	return g.print(answer, func(w io.Writer) { printWhere(w, answer) })
+}
+
+func printWhere(w io.Writer, a operatorapi.AddressAnswer) {
+	_, _ = fmt.Fprintf(w, "addresses\t%s\n", strings.Join(a.Addresses, ", "))
+	_, _ = fmt.Fprintf(w, "valid for\t%s\n", time.Duration(a.TTLSeconds)*time.Second)
+	if a.OrderToken != "" {
+		_, _ = fmt.Fprintf(w, "order token\t%s\n", a.OrderToken)
+		_, _ = fmt.Fprintf(w, "expires\t%s\n", a.OrderTokenExpires.Format(time.RFC3339))
+	}
+}
+
+type callCmd struct {
+	Service string `arg:"" help:"Service to call."`
+	Method  string `arg:"" help:"HTTP method."`
+	Path    string `arg:"" help:"Path of the operation, for example /reservations."`
+	Data    string `help:"Request body; @FILE reads a file and @- standard input."`
+	Type    string `help:"Content type of the body." default:"application/json"`
+	Order   bool   `help:"Send an order: a call that is executed at most once."`
+}
+
+func (c *callCmd) Run(ctx context.Context, g *Globals) error {
+	r, err := c.request()
+	if err != nil {
+		return err
+	}
+	client, timeout, err := g.client()
+	if err != nil {
+		return err
+	}
+	r.Timeout = timeout
+	addresses := g.Address
+	if c.Order {
+		if addresses, err = g.orderKey(ctx, &r); err != nil {
+			return err
+		}
+	}
+	return g.sendCall(ctx, client, addresses, r)
+}
+
+func (c *callCmd) request() (apiclient.Request, error) {
+	if !strings.HasPrefix(c.Path, "/") {
+		return apiclient.Request{}, result.New(result.BadRequest, result.NotRun, "path %q does not start with /", c.Path)
+	}
+	r := apiclient.Request{
+		Method: strings.ToUpper(c.Method), Path: "/app/" + url.PathEscape(c.Service) + c.Path,
+		ContentType: c.Type, Header: map[string]string{},
+	}
+	if name, ok := strings.CutPrefix(c.Data, "@"); ok {
+		data, err := readFile(name)
+		if err != nil {
+			return r, err
+		}
+		r.Body = data
+	} else if c.Data != "" {
+		r.Body = []byte(c.Data)
+	}
+	return r, nil
+}
+
+// orderKey asks for an order token and sets the Idempotency-Key of r. It
+// returns the addresses to use, first the one of the daemon that executes the
+// key.
+func (g *Globals) orderKey(ctx context.Context, r *apiclient.Request) ([]string, error) {
+	var answer operatorapi.AddressAnswer
+	if err := g.call(ctx, http.MethodGet, operatorapi.PathAddress, nil, "", &answer); err != nil {
+		return nil, errors.WithMessage(err, "ask for an order token")
+	}
+	if answer.OrderToken == "" {
+		return nil, result.New(result.OrderFrozen, result.NotRun, "the daemon gives no order token")
+	}
+	r.Header["Idempotency-Key"] = answer.OrderToken + "." + uuid.NewString()
+	if len(answer.Addresses) == 0 {
+		return g.Address, nil
+	}
+	return answer.Addresses, nil
+}
+
+// sendCall prints the answer. The daemon refuses a call that is not idempotent
+// and carries no Idempotency-Key, so that repeating the call elsewhere is safe.
+func (g *Globals) sendCall(ctx context.Context, client *apiclient.Client, addresses []string, r apiclient.Request) error {
+	key := r.Header["Idempotency-Key"]
+	resp, err := sendFirst(ctx, client, addresses, r, true)
+	if err != nil && key != "" && result.From(err).Execution == result.Unknown {
+		return result.Wrap(err, result.OrderOutcomeUnknown, result.Unknown, "order %s", key)
+	}
+	if err != nil {
+		return err
+	}
+	if resp.Status >= http.StatusMultipleChoices {
+		return apiclient.Problem(resp.Status, resp.Body)
+	}
+	_, err = fmt.Fprintf(g.out, "%s\n", strings.TrimSuffix(string(resp.Body), "\n"))
+	return errors.Wrap(err, "write answer")
+}
+
+type hashKeyCmd struct{}
+
+// standardInput is replaced by tests.
+var standardInput io.Reader = os.Stdin
+
+func (c *hashKeyCmd) Run(g *Globals) error {
+	data, err := io.ReadAll(standardInput)
+	if err != nil {
+		return errors.Wrap(err, "read standard input")
+	}
+	hash, err := hashKey(string(data))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(g.out, hash)
+	return errors.Wrap(err, "write answer")
+}
+
+// hashKey returns the form in which client accounts store a key. The line end
+// that terminals and editors add is not part of the key.
+func hashKey(key string) (string, error) {
+	key = strings.TrimSuffix(strings.TrimSuffix(key, "\n"), "\r")
+	if key == "" {
+		return "", result.New(result.BadRequest, result.NotRun, "standard input has no key")
+	}
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:]), nil
+}
+
+type chartsCmd struct{}
+
+// printCharts writes the statecharts as Mermaid diagrams. It fails until the
+// package with the embedded charts is part of the program.
+var printCharts = func(io.Writer) error {
+	return errors.New("this build contains no statecharts")
+}
+
+func (c *chartsCmd) Run(g *Globals) error { return printCharts(g.out) }
--- /dev/null
+++ b/internal/cli/chat.go
@@ -0,0 +1,136 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/apiclient"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+const pathChat = "/v1/chat/completions"
+
+type chatCmd struct {
+	Service    string `required:"" help:"Service that answers."`
+	Prompt     string `help:"Text of the request." xor:"prompt" required:""`
+	PromptFile string `help:"File with the text of the request; - reads standard input." xor:"prompt" required:""`
+	MaxTokens  int    `help:"Largest number of generated tokens; 0 sets no bound."`
+	Stream     bool   `help:"Print the answer while it is generated."`
+	Session    string `help:"Session of which the request is a part; its requests prefer one upstream."`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens,omitempty"`
+	Stream    bool          `json:"stream,omitempty"`
+}
+
+// chatAnswer has the members of a completion and of a chunk that are printed.
+type chatAnswer struct {
+	Choices []struct {
+		Message chatMessage `json:"message"`
+		Delta   chatMessage `json:"delta"`
+	} `json:"choices"`
+}
+
+func (c *chatCmd) Run(ctx context.Context, g *Globals) error {
+	r, err := c.request()
+	if err != nil {
+		return err
+	}
+	client, timeout, err := g.client()
+	if err != nil {
+		return err
+	}
+	r.Timeout = timeout
+	if c.Stream {
+		return g.streamChat(ctx, client, r)
+	}
+	resp, err := sendFirst(ctx, client, g.Address, r, true)
+	if err != nil {
+		return err
+	}
+	return g.printChat(resp)
+}
+
+func (c *chatCmd) request() (apiclient.Request, error) {
+	if c.MaxTokens < 0 {
+		return apiclient.Request{}, result.New(result.BadRequest, result.NotRun, "--max-tokens: %d is negative", c.MaxTokens)
+	}
+	prompt := c.Prompt
+	if c.PromptFile != "" {
+		data, err := readFile(c.PromptFile)
+		if err != nil {
+			return apiclient.Request{}, err
+		}
+		prompt = string(data)
+	}
+	body, err := json.Marshal(chatBody{
+		Model: c.Service, Messages: []chatMessage{{Role: "user", Content: prompt}},
+		MaxTokens: c.MaxTokens, Stream: c.Stream,
+	})
+	r := apiclient.Request{Method: http.MethodPost, Path: pathChat, Body: body, ContentType: jsonType, Header: map[string]string{}}
+	if c.Session != "" {
+		r.Header["X-Session-Id"] = c.Session
+	}
+	return r, errors.Wrap(err, "encode request")
+}
+
+// streamChat prints the text of each event, or with -o json each event on a
+// line.
+func (g *Globals) streamChat(ctx context.Context, client *apiclient.Client, r apiclient.Request) error {
+	end, err := client.Stream(ctx, g.Address, r, func(e apiclient.Event) error {
+		if g.Output == "json" {
+			_, err := fmt.Fprintf(g.out, `{"id":%q,"data":%s}`+"\n", e.ID, e.Data)
+			return err
+		}
+		var chunk chatAnswer
+		if err := json.Unmarshal(e.Data, &chunk); err != nil {
+			return errors.Wrapf(err, "decode event %s", e.ID)
+		}
+		for _, choice := range chunk.Choices {
+			if _, err := io.WriteString(g.out, choice.Delta.Content); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if g.Output != "json" && end.LastEventID != "" {
+		_, _ = fmt.Fprintln(g.out)
+	}
+	if err != nil && end.RequestID != "" {
+		return errors.WithMessagef(err, "request %s after event %s", end.RequestID, end.LastEventID)
+	}
+	return err
+}
+
+func (g *Globals) printChat(resp *apiclient.Response) error {
+	if resp.Status >= http.StatusMultipleChoices {
+		return apiclient.Problem(resp.Status, resp.Body)
+	}
+	if g.Output == "json" {
+		_, err := fmt.Fprintf(g.out, "%s\n", resp.Body)
+		return err
+	}
+	var answer chatAnswer
+	if err := json.Unmarshal(resp.Body, &answer); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	for _, choice := range answer.Choices {
+		if _, err := fmt.Fprintln(g.out, choice.Message.Content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
