--- a/internal/cli/chat.go
+++ b/internal/cli/chat.go
@@ -90,6 +90,7 @@
 // streamChat prints the text of each event, or with -o json each event on a
 // line.
 func (g *Globals) streamChat(ctx context.Context, client *apiclient.Client, r apiclient.Request) error {
+	printed := false
 	end, err := client.Stream(ctx, g.Address, r, func(e apiclient.Event) error {
 		if g.Output == "json" {
 			_, err := fmt.Fprintf(g.out, `{"id":%q,"data":%s}`+"\n", e.ID, e.Data)
@@ -100,13 +101,14 @@
 			return errors.Wrapf(err, "decode event %s", e.ID)
 		}
 		for _, choice := range chunk.Choices {
+			printed = printed || choice.Delta.Content != ""
 			if _, err := io.WriteString(g.out, choice.Delta.Content); err != nil {
 				return err
 			}
 		}
 		return nil
 	})
-	if g.Output != "json" && end.LastEventID != "" {
+	if printed {
 		_, _ = fmt.Fprintln(g.out)
 	}
 	if err != nil && end.RequestID != "" {
