Bound watch reconnects and build stray replies on demand

Cause: a watch kept running after its client was closed, and a store that accepted watches and dropped them at once was asked again every 50 ms. The engine stand-in built a whole copy of every reply for the late and crossed faults even when they were off. Ruled out: a reset of the backoff on the store's confirmation, for the same reason. Change: watches end with their client; the backoff is reset only after a stream that lasted longer than the largest pause; Replies.Swap builds a stray reply only if a fault asks for it.

--- a/internal/store/etcdv3/client.go
+++ b/internal/store/etcdv3/client.go
@@ -58,6 +58,8 @@
 
 var _ store.Store = (*Client)(nil)
 
+var errClosed = errors.Wrap(store.ErrUnavailable, "store client is closed")
+
 // New returns a client. It does not connect before the first call.
 func New(options Options) (*Client, error) {
 	if len(options.Addresses) == 0 {
@@ -108,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return nil, 0, errors.Wrap(store.ErrUnavailable, "store client is closed")
+		return nil, 0, errClosed
 	}
 	i := c.current
 	if c.conns[i] == nil {
--- a/internal/store/etcdv3/client_test.go
+++ b/internal/store/etcdv3/client_test.go
@@ -205,6 +205,17 @@
 	}, 3*time.Second).Should(Succeed())
 }
 
+// Guards against a watch that goes on after its client was closed.
+func TestCloseEndsWatch(t *testing.T) {
+	g := NewWithT(t)
+	server, client := startStore(t, standin.Options{})
+	batches := client.Watch(context.Background(), "/", 0)
+	g.Eventually(func() int { return server.Stats().Watches }).Should(Equal(1))
+	g.Expect(client.Close()).To(Succeed())
+	g.Expect(next(t, batches).Err).To(MatchError(store.ErrUnavailable))
+	g.Eventually(batches).Should(BeClosed())
+}
+
 // Guards against a client that stays with a dead endpoint.
 func TestNextEndpointIsUsed(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/store/etcdv3/watch.go
+++ b/internal/store/etcdv3/watch.go
@@ -28,7 +28,7 @@
 // Watch implements store.Store. A lost connection is replaced with jittered
 // backoff and the watch resumes after the last revision it delivered. The
 // watch ends with ErrCompacted if that revision is compacted or if the store
-// came back with an older revision.
+// came back with an older revision, and with ErrUnavailable if c is closed.
 func (c *Client) Watch(ctx context.Context, prefix string, afterRevision int64) <-chan store.WatchBatch {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = c.options.MinBackoff
@@ -45,11 +45,16 @@
 func (w *watcher) run(ctx context.Context) {
 	defer close(w.batches)
 	for ctx.Err() == nil {
+		start := time.Now()
 		err := w.follow(ctx)
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, errClosed) {
 			w.put(ctx, store.WatchBatch{Revision: w.last, Err: err})
 			return
 		}
+		// A store that accepts watches and fails soon after is not asked faster.
+		if time.Since(start) > w.client.options.MaxBackoff {
+			w.backoff.Reset()
+		}
 		select {
 		case <-time.After(w.backoff.NextBackOff()):
 		case <-ctx.Done():
@@ -85,7 +90,6 @@
 		}
 		if response.Created {
 			deadline.Stop()
-			w.backoff.Reset()
 		}
 		if err := w.handle(ctx, response); err != nil {
 			return err
--- a/test/standin/app/app.go
+++ b/test/standin/app/app.go
@@ -178,7 +178,7 @@
 // register adds the routes. GET /stats, PUT /faults, POST /close-idle and
 // POST /v1/leave are for tests and answer even if the service is frozen.
 func (s *Server) register(h *server.Hertz) {
-	s.faults.Register(h, nil)
+	s.faults.Register(h)
 	h.GET("/stats", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, s.Stats()) })
 	h.POST("/close-idle", func(_ context.Context, c *app.RequestContext) {
 		c.JSON(http.StatusOK, map[string]int{"closed": s.CloseIdle()})
--- a/test/standin/app/handle.go
+++ b/test/standin/app/handle.go
@@ -67,9 +67,7 @@
 func (s *Server) reply(ctx context.Context, c *app.RequestContext, result any, d fault.Decision) {
 	id := string(c.GetHeader(fault.HeaderRequestID))
 	own := &fault.Reply{Status: http.StatusOK, ContentType: "application/json", RequestID: id, Body: marshal(result)}
-	values := s.http.Values(ctx)
-	previous, other := s.replies.Previous(values), s.replies.Other(id)
-	s.replies.Remember(values, id, func() *fault.Reply { return own })
+	before, instead := s.replies.Swap(s.http.Values(ctx), id, d, func() *fault.Reply { return own })
 	switch {
 	case d.Lose:
 		s.update(func(stats *Stats) { stats.LostReply++ })
@@ -81,10 +79,10 @@
 	case d.Cut:
 		cut(c, own)
 		return
-	case d.Late && previous != nil:
-		_ = previous.WriteRaw(c)
-	case d.Cross && other != nil:
-		other.Send(c)
+	case before != nil:
+		_ = before.WriteRaw(c)
+	case instead != nil:
+		instead.Send(c)
 		return
 	case d.Repeat:
 		_ = own.WriteRaw(c)
--- a/test/standin/engine/chat.go
+++ b/test/standin/engine/chat.go
@@ -170,14 +170,12 @@
 	c.Response.Header.Set(HeaderLoadRunning, strconv.Itoa(running))
 	c.Response.Header.Set(HeaderLoadWaiting, strconv.Itoa(waiting))
 	c.Response.Header.Set(HeaderCachedTokens, strconv.Itoa(j.seq.cached))
-	values := s.http.Values(ctx)
-	previous, other := s.replies.Previous(values), s.replies.Other(j.id)
-	s.replies.Remember(values, j.id, j.wholeReply)
+	before, instead := s.replies.Swap(s.http.Values(ctx), j.id, j.faults, j.wholeReply)
 	switch {
-	case j.faults.Late && previous != nil:
-		_ = previous.WriteRaw(c)
-	case j.faults.Cross && other != nil:
-		other.Send(c)
+	case before != nil:
+		_ = before.WriteRaw(c)
+	case instead != nil:
+		instead.Send(c)
 		return
 	}
 	if j.request.Stream {
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -150,7 +150,7 @@
 // register adds the routes. GET /stats and GET and PUT /faults are for tests
 // and answer even if the engine is frozen or gone.
 func (s *Server) register(h *server.Hertz) {
-	s.faults.Register(h, nil)
+	s.faults.Register(h)
 	h.GET("/stats", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, s.Stats()) })
 	api := h.Group("", s.gate)
 	api.POST("/v1/chat/completions", s.handleChat)
--- a/test/standin/engine/engine_test.go
+++ b/test/standin/engine/engine_test.go
@@ -291,3 +291,61 @@
 		g.Expect(s.ControlState().Version).To(Equal("v3"))
 	}
 }
+
+// Guards against cache events that arrive before their delay or without gaps,
+// and against an evicted prefix that still counts as cached.
+func TestCacheEventsAndEviction(t *testing.T) {
+	g := NewWithT(t)
+	options := fast()
+	options.CacheTokens, options.CacheEventDelay, options.CacheEventLoss = 640, 150*time.Millisecond, 0.3
+	s := start(t, options)
+	events := func() (events []engine.CacheEvent) {
+		response, err := http.Get("http://" + s.Address() + "/v1/cache/events?after=0")
+		g.Expect(err).NotTo(HaveOccurred())
+		var reply struct{ Events []engine.CacheEvent }
+		g.Expect(json.NewDecoder(response.Body).Decode(&reply)).To(Succeed())
+		return reply.Events
+	}
+	first, second := strings.Repeat("first file ", 150), strings.Repeat("second file ", 250)
+	chat(s, "1", question(first, true))
+	g.Expect(events()).To(BeEmpty())
+	chat(s, "1", question(first, true))
+	g.Expect(s.Stats().ByRequest["1"].CachedTokens).To(BeNumerically(">", 250))
+	chat(s, "2", question(second, true))
+	chat(s, "3", question(first, true))
+	again := s.Stats().ByRequest["3"]
+	g.Expect(again.CachedTokens).To(BeZero())
+	g.Expect(again.RecomputedTokens).To(BeNumerically(">", 250))
+	time.Sleep(options.CacheEventDelay)
+	gaps, last := 0, uint64(0)
+	for _, event := range events() {
+		gaps += int(event.Seq - last - 1)
+		last = event.Seq
+	}
+	g.Expect(last).To(BeNumerically(">", 10))
+	g.Expect(gaps).To(BeNumerically(">", 0))
+}
+
+// Guards against a frozen engine that answers health checks or loses a stream
+// when it thaws.
+func TestFreeze(t *testing.T) {
+	g := NewWithT(t)
+	options := fast()
+	options.DecodeBase = 3 * time.Millisecond
+	s := start(t, options)
+	long := question("x", true)
+	long.MaxTokens, long.IgnoreEOS = 40, true
+	results := make(chan outcome, 1)
+	go func() { results <- chat(s, "frozen", long) }()
+	g.Eventually(func() int { return s.Stats().Requests }).Should(Equal(1))
+	time.Sleep(20 * time.Millisecond)
+	s.Faults().Put(fault.Faults{Freeze: true})
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	_, err := client.Get("http://" + s.Address() + "/health")
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(results).NotTo(Receive())
+	s.Faults().Put(fault.Faults{})
+	var o outcome
+	g.Eventually(results, 3*time.Second).Should(Receive(&o))
+	g.Expect(o.text).To(Equal(expected(t, "x", 40)))
+}
--- a/test/standin/fault/reply.go
+++ b/test/standin/fault/reply.go
@@ -64,36 +64,25 @@
 	id   string
 }
 
-// Previous returns the last reply on a connection or nil. values belongs to
-// the connection.
-func (*Replies) Previous(values *sync.Map) *Reply {
-	if stored, ok := values.Load(lastReplyKey{}); ok {
-		return stored.(func() *Reply)()
+// Swap stores the reply to request id, and returns what to send before it or
+// instead of it by the decision; most calls return nil. values belongs to the
+// connection.
+func (r *Replies) Swap(values *sync.Map, id string, d Decision, reply func() *Reply) (before, instead *Reply) {
+	if stored, ok := values.Swap(lastReplyKey{}, reply); ok && d.Late {
+		before = stored.(func() *Reply)()
 	}
-	return nil
-}
-
-// Other returns the last reply to a request with another ID, or nil.
-func (r *Replies) Other(id string) *Reply {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.last == nil || r.id == id {
-		return nil
-	}
-	return r.last()
-}
-
-// Remember stores the reply to request id.
-func (r *Replies) Remember(values *sync.Map, id string, reply func() *Reply) {
-	values.Store(lastReplyKey{}, reply)
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	other, otherID := r.last, r.id
 	r.last, r.id = reply, id
+	r.mu.Unlock()
+	if d.Cross && other != nil && otherID != id {
+		instead = other()
+	}
+	return before, instead
 }
 
-// Register adds GET and PUT /faults. changed, if not nil, is called after a
-// change.
-func (s *Set) Register(h *server.Hertz, changed func()) {
+// Register adds GET and PUT /faults.
+func (s *Set) Register(h *server.Hertz) {
 	h.GET("/faults", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, s.Get()) })
 	h.PUT("/faults", func(_ context.Context, c *app.RequestContext) {
 		var faults Faults
@@ -102,9 +91,6 @@
 			return
 		}
 		s.Put(faults)
-		if changed != nil {
-			changed()
-		}
 		c.JSON(http.StatusOK, faults)
 	})
 }
