--- a/internal/config/commit.go
+++ b/internal/config/commit.go
@@ -112,7 +112,7 @@
 // attempt tries to store the changes as the next revision of the store. It
 // asks to be called again after a race.
 func (m *Manager) attempt(ctx context.Context, actor Actor, changes []Change, expected map[object.Ref]int64) (revision int64, again bool, err error) {
-	h, _, err := m.readHead(ctx)
+	h, err := m.readHead(ctx)
 	if err != nil {
 		return 0, false, err
 	}
--- a/internal/config/draft.go
+++ b/internal/config/draft.go
@@ -143,7 +143,7 @@
 		if current == 0 {
 			return entry, result.New(result.ObjectNotFound, result.NotRun, "%s does not exist", ref)
 		}
-		return entry, nil
+		return entry, checkMoveDelete(set.Get(ref))
 	}
 	if err := c.Put.Validate(); err != nil {
 		return entry, err
--- a/internal/config/fake_test.go
+++ b/internal/config/fake_test.go
@@ -151,6 +151,16 @@
 	return ch
 }
 
+// endWatches ends all watches with an error.
+func (f *fakeStore) endWatches(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for ch := range f.watchers {
+		ch <- store.WatchBatch{Err: err}
+		delete(f.watchers, ch)
+	}
+}
+
 func (f *fakeStore) snapshot() (map[string]store.KeyValue, int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -38,26 +38,38 @@
 	return h, errors.Wrapf(json.Unmarshal(kv.Value, &h), "decode %s", headKey)
 }
 
-// readHead reads the head and checks it against the configuration in force.
-// The snapshot that was in force before the read is returned with it, because
-// a newer one may come into force meanwhile.
-func (m *Manager) readHead(ctx context.Context) (head, *Snapshot, error) {
-	before := m.Current()
+// known is what a daemon knew before it read from the store. The answer is
+// compared with it and not with the state afterwards, because newer changes
+// may come into force during the read.
+type known struct {
+	*Snapshot
+	wanted int64 // revision that a peer has in force
+}
+
+func (m *Manager) known() known {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	return known{m.Current(), m.wanted}
+}
+
+// readHead reads the head and checks it against what was known before.
+func (m *Manager) readHead(ctx context.Context) (head, error) {
+	before := m.known()
 	kv, err := m.opts.Store.Get(ctx, headKey)
 	if err != nil {
-		return head{}, before, storeError(err, "read the head")
+		return head{}, storeError(err, "read the head")
 	}
 	h, err := decodeHead(kv)
 	if err != nil {
-		return head{}, before, result.Wrap(err, result.Internal, result.NotRun, "the store's head is unreadable")
+		return head{}, result.Wrap(err, result.Internal, result.NotRun, "the store's head is unreadable")
 	}
-	return h, before, m.checkHead(h, before)
+	return h, m.checkHead(h, before)
 }
 
 // checkHead records a contact with the store. It returns an error with code
-// StaleRevision if the head is older than the snapshot that was in force
-// before the head was read, or belongs to another history.
-func (m *Manager) checkHead(h head, before *Snapshot) error {
+// StaleRevision if the head is older than the configuration in force on this
+// daemon or on a peer, or belongs to another history.
+func (m *Manager) checkHead(h head, before known) error {
 	var err error
 	switch {
 	case h.Revision < before.Revision:
@@ -67,6 +79,9 @@
 		err = result.New(result.StaleRevision, result.NotRun,
 			"the store's revision %d was made by change %q, and the one in force by change %q",
 			h.Revision, h.ChangeID, before.ChangeID)
+	case h.Revision < before.wanted:
+		err = result.New(result.StaleRevision, result.NotRun,
+			"the store's head is at revision %d, behind revision %d of a peer", h.Revision, before.wanted)
 	case h.Revision > before.Revision:
 		// Whether the store continues the history in force is known after the
 		// missing changes are read.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -23,7 +23,7 @@
 // behind the configuration in force, and NotStored or StoreBudgetSpent if it
 // does not answer.
 func (m *Manager) LoadStore(ctx context.Context) error {
-	before := m.Current()
+	before := m.known()
 	kvs, _, err := m.opts.Store.List(ctx, configPrefix)
 	if err != nil {
 		return storeError(err, "list the configuration")
--- a/internal/config/moves.go
+++ b/internal/config/moves.go
@@ -76,6 +76,15 @@
 	return nil
 }
 
+// checkMoveDelete refuses to delete an open move, because its traffic would
+// change at once and no cancellation would be on record.
+func checkMoveDelete(old *object.Object) error {
+	if m, ok := old.Spec.(*object.Move); ok && m.Open() {
+		return result.New(result.MoveConflict, result.NotRun, "%s is open; cancel it before deleting it", old.Ref())
+	}
+	return nil
+}
+
 // sameMove compares what the operator wrote, without state, evidence and
 // generation.
 func sameMove(a, b *object.Move) bool {
--- a/internal/config/settle.go
+++ b/internal/config/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/audit"
@@ -15,6 +16,9 @@
 	maxUnknowns = 64
 	// maxSettleAttempts bounds the read-backs while the operator waits.
 	maxSettleAttempts = 8
+	// settleTimeout bounds the time that the operator, and other commits of the
+	// daemon, wait for a silent store.
+	settleTimeout = 3 * time.Second
 	// settleInterval is the pause between read-backs in the background.
 	settleInterval = time.Second
 	// settleWindow is the time after which an unknown outcome is given up. A
@@ -29,6 +33,8 @@
 func (m *Manager) settle(ctx context.Context, h head, d *draft, cause error) (outcome, error) {
 	m.opts.Logger.Warn("reply of the store was lost", "revision", d.record.Revision,
 		"change_id", d.record.ChangeID, "error", cause)
+	ctx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, settleTimeout)
+	defer cancel()
 	pauses := newPauses()
 	for attempt := 0; attempt < maxSettleAttempts; attempt++ {
 		if got := m.readBack(ctx, d); got != outcomeUnknown {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -49,9 +49,8 @@
 		s.index(kind)
 	}
 	s.upstreams = make(map[string][]*object.Object, set.Count(object.KindUpstreamSelector))
-	all := set.List(object.KindUpstream)
 	set.Each(object.KindUpstreamSelector, func(o *object.Object) {
-		s.upstreams[o.Metadata.Name] = matching(o, all)
+		s.upstreams[o.Metadata.Name] = matching(o, set)
 	})
 	return s
 }
@@ -104,14 +103,17 @@
 	return groups
 }
 
-func matching(selector *object.Object, upstreams []*object.Object) []*object.Object {
+func matching(selector *object.Object, set *object.Set) []*object.Object {
 	spec := selector.Spec.(*object.UpstreamSelector)
 	var matched []*object.Object
-	for _, u := range upstreams {
+	set.Each(object.KindUpstream, func(u *object.Object) {
 		if spec.Selector.Matches(u.Metadata.Labels) {
 			matched = append(matched, u)
 		}
-	}
+	})
+	slices.SortFunc(matched, func(a, b *object.Object) int {
+		return strings.Compare(a.Metadata.Name, b.Metadata.Name)
+	})
 	return matched
 }
 
@@ -122,14 +124,10 @@
 		return s.upstreams
 	}
 	index := make(map[string][]*object.Object, set.Count(object.KindUpstreamSelector))
-	var all []*object.Object
-	if len(selectors) > 0 {
-		all = set.List(object.KindUpstream)
-	}
 	set.Each(object.KindUpstreamSelector, func(o *object.Object) {
 		name := o.Metadata.Name
 		if slices.Contains(selectors, name) {
-			index[name] = matching(o, all)
+			index[name] = matching(o, set)
 			return
 		}
 		index[name] = updateMatches(s.upstreams[name], o, set, upstreams)
--- a/internal/config/sync_test.go
+++ b/internal/config/sync_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 	"google.golang.org/grpc"
 
@@ -162,24 +164,64 @@
 	g.Expect(follower.Current().Revision).To(gomega.Equal(int64(77)))
 }
 
+// Guards against a daemon without configuration that commits onto, or loads, a
+// wiped store although its peers have a configuration in force.
+func TestStoreBehindPeersIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newTestManager(newFakeStore(), nil)
+	m.NoteRevision(100)
+	_, err := m.Commit(context.Background(), operator, put(upstream(9, nil)))
+	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.StaleRevision))
+	g.Expect(result.CodeOf(m.LoadStore(context.Background()))).To(gomega.Equal(result.StaleRevision))
+	g.Expect(m.Status().Store.Detail).To(gomega.ContainSubstring("behind revision 100 of a peer"))
+}
+
 // Guards against a watch that misses changes of other daemons, that does not
-// recover from an outage, or that follows a store with old data.
+// recover from an outage or a compaction, that runs on daemons which do not
+// watch, or that follows a store with old data.
 func TestWatchFollowsStore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newFakeStore()
-	origin, follower := newTestManager(s, nil), newTestManager(s, nil)
+	clock := clockwork.NewFakeClock()
+	var watches atomic.Bool
+	origin := newTestManager(s, nil)
+	follower := NewManager(Options{Store: s, Clock: clock, Logger: quiet(), Watches: watches.Load})
 	commitMany(g, origin, 0, 3)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = follower.WatchStore(ctx) }()
-	revision := func() int64 { return follower.Current().Revision }
-	g.Eventually(revision, "5s").Should(gomega.Equal(int64(3)))
+	reaches := func(revision int64) {
+		g.Eventually(func() int64 {
+			clock.Advance(time.Second)
+			return follower.Current().Revision
+		}, "10s", "2ms").Should(gomega.Equal(revision))
+	}
+	g.Consistently(func() int64 {
+		clock.Advance(time.Second)
+		return follower.Current().Revision
+	}, "50ms").Should(gomega.BeZero())
+	watches.Store(true)
+	reaches(3)
 	commitMany(g, origin, 3, 50)
-	g.Eventually(revision, "5s").Should(gomega.Equal(int64(50)))
-	g.Expect(follower.Status().Store.LastContact).NotTo(gomega.BeZero())
+	reaches(50)
+	backup, revision := s.snapshot()
+
+	s.endWatches(store.ErrCompacted)
+	s.setFaults(func(string) error { return store.ErrUnavailable }, nil)
+	g.Consistently(func() int64 {
+		clock.Advance(time.Second)
+		return follower.Current().Revision
+	}, "50ms").Should(gomega.Equal(int64(50)))
+	s.setFaults(nil, nil)
+	commitMany(g, origin, 50, 120)
+	reaches(120)
+
+	s.restore(backup, revision)
+	g.Eventually(func() bool {
+		clock.Advance(time.Second)
+		return follower.Status().Store.Stale
+	}, "10s", "2ms").Should(gomega.BeTrue())
+	g.Expect(follower.Current().Revision).To(gomega.Equal(int64(120)))
 	cancel()
 	<-done
-	commitMany(g, origin, 50, 120)
-	g.Expect(follower.LoadStore(context.Background())).To(gomega.Succeed())
-	g.Expect(revision()).To(gomega.Equal(int64(120)))
 }
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -92,7 +92,7 @@
 // syncHead reads the head, applies missing changes and returns the store's
 // revision at which the head was read.
 func (m *Manager) syncHead(ctx context.Context) (int64, error) {
-	before := m.Current()
+	before := m.known()
 	kvs, storeRevision, err := m.opts.Store.List(ctx, headKey)
 	if err != nil {
 		return 0, storeError(err, "read the head")
