--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -145,17 +145,17 @@
 	})
 }
 
-// minSecretBytes is the length of a SHA-256 block key worth using with HMAC.
-const minSecretBytes = 16
+// minSecretBytes is the output length of SHA-256, the least that HMAC keys should have.
+const minSecretBytes = 32
 
 func (l *keyList) secret(section, name string, target *string, optional bool, doc string) {
-	l.add(section, name, "hex string", "", "", "at least 16 bytes", doc, func(v string) error {
+	l.add(section, name, "hex string", "", "", "at least 32 bytes", doc, func(v string) error {
 		if v == "" && optional {
 			return nil
 		}
 		b, err := hex.DecodeString(v)
 		if err != nil || len(b) < minSecretBytes {
-			return errors.New("the value must be at least 32 hexadecimal digits")
+			return errors.New("the value must be at least 64 hexadecimal digits")
 		}
 		*target = v
 		return nil
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -14,7 +14,7 @@
 data_centre = dc1
 [orders]
 secret_id = k1
-secret = 00112233445566778899aabbccddeeff
+secret = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 `
 
 // A misspelt key or an out-of-range value must stop the start with its place.
@@ -25,7 +25,7 @@
 		{"range", minimal + "[store]\ncall_timeout = 1h\n", "section [store], key call_timeout: 1h0m0s is outside 50ms to 30s"},
 		{"address", minimal + "[peers]\nseeds = localhost:1\n", `section [peers], key seeds: "localhost:1" is not ip:port`},
 		{"missing", "[daemon]\nname = a\n", "section [daemon], key data_centre: a value is required"},
-		{"secret", strings.Replace(minimal, "secret = 00112233445566778899aabbccddeeff", "secret = abc", 1), "section [orders], key secret:"},
+		{"secret", strings.Replace(minimal, "secret = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff", "secret = abc", 1), "section [orders], key secret:"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
