--- a/pkg/order/property_test.go
+++ b/pkg/order/property_test.go
@@ -64,6 +64,8 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newWorld(t *rapid.T, daemons int) *world {
+	// With one owner, all steps concern the same keys and their transfers.
+	owners := rapid.IntRange(1, daemons).Draw(t, "owners")
 	w := &world{t: t, executed: make(map[string]int), crashed: make([]bool, daemons)}
 	for i := range daemons {
 		c := &skewedClock{Clock: clockwork.NewFakeClockAt(epoch), now: epoch}
@@ -73,6 +75,9 @@
 		}
 		w.clocks, w.ledgers = append(w.clocks, c), append(w.ledgers, l)
 		for k := range 2 {
+			if i >= owners {
+				break
+			}
 			w.keys = append(w.keys, Key{
 				Token: Token{DaemonID: daemonName(i), Expires: epoch.Add(time.Duration(40+60*k) * time.Second)},
 				Text:  fmt.Sprintf("%s.%d", daemonName(i), k),
--- /dev/null
+++ b/pkg/order/transfer_test.go
@@ -0,0 +1,85 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+func importAll(tb testing.TB, to *Ledger, parts []Part) {
+	tb.Helper()
+	for _, p := range parts {
+		if err := to.Import(p); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
+
+func frozenParts(tb testing.TB, l *Ledger) []Part {
+	tb.Helper()
+	l.Freeze()
+	parts, err := l.Export()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return parts
+}
+
+// Guards against executing a key that ran and was dropped by an executor whose
+// clock is ahead of the successor's.
+func TestSuccessorRefusesKeysThatTheOldLedgerDropped(t *testing.T) {
+	old, next := newRig(t, "old", DefaultLimits()), newRig(t, "next", DefaultLimits())
+	run(t, old.ledger, testKey("old", 1), "")
+	old.clock.Advance(time.Minute)
+	importAll(t, next.ledger, frozenParts(t, old.ledger))
+	_, err := next.ledger.Begin(testKey("old", 1), "a", [32]byte{})
+	if e := result.From(err); e.Code != result.OrderKeyExpired || e.Execution != result.Unknown {
+		t.Errorf("dropped key: %v", err)
+	}
+}
+
+// Guards against restarting a key on the report of an earlier holder, when a
+// later holder has sent it since.
+func TestReportOfAnEarlierHolderIsRefused(t *testing.T) {
+	first, second, third := newRig(t, "first", DefaultLimits()), newRig(t, "second", DefaultLimits()), newRig(t, "third", DefaultLimits())
+	key := testKey("first", 1)
+	refused, _ := first.ledger.Begin(key, "a", [32]byte{})
+	_ = first.ledger.MarkSent(refused, time.Time{})
+	importAll(t, second.ledger, frozenParts(t, first.ledger))
+	_, _ = first.ledger.Finish(refused, Outcome{Execution: result.NotRun, Code: result.UpstreamRefused})
+	late := first.ledger.TakeLate()
+	importAll(t, second.ledger, late)
+	again, err := second.ledger.Begin(key, "a", [32]byte{})
+	if err != nil || again.Decision != Start || second.ledger.MarkSent(again, time.Time{}) != nil {
+		t.Fatalf("refused order: %+v, %v", again, err)
+	}
+	importAll(t, third.ledger, frozenParts(t, second.ledger))
+	if err := third.ledger.Import(late[0]); err == nil {
+		t.Error("the report of an earlier holder was accepted")
+	}
+	if got, _ := third.ledger.Begin(key, "a", [32]byte{}); got.Decision != Wait {
+		t.Errorf("decision %d, want Wait", got.Decision)
+	}
+}
+
+// Guards against mixing an incomplete transfer of one holder with the complete
+// one of a later holder.
+func TestCompleteTransferReplacesAnIncompleteOne(t *testing.T) {
+	first, second, third := newRig(t, "first", DefaultLimits()), newRig(t, "second", DefaultLimits()), newRig(t, "third", DefaultLimits())
+	key := testKey("first", 1)
+	_, _ = first.ledger.Begin(key, "a", [32]byte{}) // not run after the freeze
+	parts := frozenParts(t, first.ledger)
+	cut := parts[0]
+	cut.Last = false
+	importAll(t, third.ledger, []Part{cut})
+	if got, _ := third.ledger.Begin(key, "a", [32]byte{}); got.Decision != NotOwner {
+		t.Errorf("incomplete ledger: decision %d, want NotOwner", got.Decision)
+	}
+	importAll(t, second.ledger, parts)
+	run(t, second.ledger, key, "receipt")
+	importAll(t, third.ledger, frozenParts(t, second.ledger))
+	if got, _ := third.ledger.Begin(key, "a", [32]byte{}); got.Decision != Replay {
+		t.Errorf("complete ledger: decision %d, want Replay", got.Decision)
+	}
+}
