Follow requests that a daemon handed over

Cause: a daemon that stops ends a stream with an event "moved" and answers a plain completion with "stream moved"; the client took the event for a chunk and looked for the rest at the old addresses.

Change: the client resumes at the addresses of the event, and rudderctl chat asks there for a plain answer. An event of type "error" ends the stream.

Conclusion: matches the events that internal/server writes; not run against it.

--- a/internal/apiclient/stream.go
+++ b/internal/apiclient/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
@@ -52,10 +53,11 @@
 	var end StreamEnd
 	err := c.firstStream(ctx, addresses, r, &end, f)
 	for round := 0; round < resumeRounds && resumable(ctx, err, &end); round++ {
+		if round > 0 && !sleep(ctx, resumePause) {
+			break
+		}
 		if next := result.From(err).Addresses; len(next) > 0 {
 			addresses = next
-		} else if !sleep(ctx, resumePause*time.Duration(min(round, 1))) {
-			break
 		}
 		resume := Request{
 			Method: http.MethodGet, Path: "/v1/requests/" + url.PathEscape(end.RequestID), Timeout: r.Timeout,
@@ -164,14 +166,29 @@
 	return nil
 }
 
-// receive passes an event on. A problem document inside a stream ends it.
+// movedError is the error for a stream that continues at other addresses.
+func movedError(data []byte) error {
+	var moved struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.Unmarshal(data, &moved); err != nil {
+		return errors.Wrap(err, "decode event moved")
+	}
+	return result.New(result.StreamMoved, result.Unknown, "the stream moved").WithAddresses(moved.Addresses)
+}
+
+// receive passes an event on. Events of type "moved" and "error" end the
+// stream.
 func (end *StreamEnd) receive(e *sse.Event, f func(Event) error) error {
 	if bytes.Equal(e.Data, doneMarker) {
 		end.Whole = true
 		return nil
 	}
-	if problem := parseProblem(e.Data); problem != nil {
-		return problem
+	switch e.Type {
+	case "moved":
+		return movedError(e.Data)
+	case "error":
+		return Problem(http.StatusOK, e.Data)
 	}
 	if err := f(Event{ID: e.ID, Data: e.Data}); err != nil {
 		return &handlerError{err}
--- a/internal/cli/chat.go
+++ b/internal/cli/chat.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/pkg/errors"
 
@@ -13,7 +14,11 @@
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
-const pathChat = "/v1/chat/completions"
+const (
+	pathChat = "/v1/chat/completions"
+	// maxMoves bounds how often a request is followed to another daemon.
+	maxMoves = 10
+)
 
 type chatCmd struct {
 	Service    string `required:"" help:"Service that answers."`
@@ -58,6 +63,14 @@
 		return g.streamChat(ctx, client, r)
 	}
 	resp, err := sendFirst(ctx, client, g.Address, r, true)
+	for moves := 0; err == nil && moves < maxMoves; moves++ {
+		e := apiclient.Problem(resp.Status, resp.Body)
+		if resp.Status < http.StatusMultipleChoices || e.Code != result.StreamMoved || len(e.Addresses) == 0 {
+			break
+		}
+		follow := apiclient.Request{Method: http.MethodGet, Path: "/v1/requests/" + url.PathEscape(resp.RequestID), Timeout: timeout}
+		resp, err = sendFirst(ctx, client, e.Addresses, follow, true)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -181,6 +181,38 @@
 		Expect(last).To(Equal("2"))
 	})
 
+	// A caller must find its answer after the daemon handed the request over.
+	It("follows a request that moved", func() {
+		next := fakeDaemon(func(h *server.Hertz) {
+			h.GET("/v1/requests/r1", func(_ context.Context, c *app.RequestContext) {
+				if string(c.GetHeader("Last-Event-ID")) == "1" {
+					writeEvents(c, 2, true, "b")
+					return
+				}
+				c.JSON(200, map[string]any{"choices": []any{map[string]any{"message": map[string]string{"content": "ab"}}}})
+			})
+		})
+		first := fakeDaemon(func(h *server.Hertz) {
+			h.POST(pathChat, func(ctx context.Context, c *app.RequestContext) {
+				c.Response.Header.Set("X-Request-Id", "r1")
+				if !strings.Contains(string(c.Request.Body()), `"stream"`) {
+					problemHandler(result.StreamMoved, result.Unknown, next)(ctx, c)
+					return
+				}
+				w := sse.NewWriter(c)
+				_ = w.WriteEvent("1", "", chunk("a"))
+				_ = w.WriteEvent("", "moved", fmt.Appendf(nil, `{"requestId":"r1","addresses":[%q]}`, next))
+				_ = w.Close()
+			})
+		})
+		for _, args := range [][]string{{}, {"--stream"}} {
+			code, out, errOut := run(append([]string{"--address", first, "chat", "--service", "s", "--prompt", "p"}, args...)...)
+			Expect(errOut).To(BeEmpty())
+			Expect(code).To(Equal(ExitOK))
+			Expect(out).To(Equal("ab\n"))
+		}
+	})
+
 	// A stream that fails must not pass for a short answer.
 	It("fails on a problem inside the stream", func() {
 		address := fakeDaemon(func(h *server.Hertz) {
