Forward and hand over orders, follow reclaim notices

Cause: an order must reach the incarnation that owns its key, and announced reclaims must reach every daemon. Ruled out: every daemon polling the cloud; at 420 daemons that is 420 open calls.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,10 +19,12 @@
 	"github.com/dogwoodrudder/dogwoodrudder/charts"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/audit"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/cloud"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/gossip"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/orders"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/server"
@@ -62,6 +64,8 @@
 	checker   upstreams.Checker
 	signer    *order.Signer
 	ledger    *order.Ledger
+	executor  *orders.Executor
+	cloud     cloud.Provider // nil without a cloud API
 	proxy     *proxy.Proxy
 	server    *server.Server
 	calls     *ants.Pool
@@ -165,6 +169,9 @@
 		return err
 	}
 	d.engine = engine.NewOpenAI(client)
+	if d.settings.Platform.CloudAddress != "" {
+		d.cloud = cloud.NewHTTP(client, d.settings.Platform.CloudAddress, cloudTimeout)
+	}
 	d.app = app.NewHTTP(client, int64(d.settings.Limits.MaxStreamBytes))
 	d.checker = upstreamhttp.Checker{Client: client, Path: "/healthz"}
 	d.directory = upstreams.New(upstreams.Options{
@@ -196,8 +203,14 @@
 	}
 	limits := order.DefaultLimits()
 	limits.MaxEntries, limits.MaxBytes = d.settings.Orders.MaxEntries, d.settings.Orders.MaxBytes
-	d.ledger, err = order.NewLedger(d.id, d.clock, limits)
-	return err
+	if d.ledger, err = order.NewLedger(d.id, d.clock, limits); err != nil {
+		return err
+	}
+	d.executor = orders.New(orders.Options{
+		Self: d.id, Signer: d.signer, Ledger: d.ledger, Directory: memberDirectory{d}, Peers: d.pool,
+		Send: (&orderAdapter{d}).send, Log: d.log,
+	})
+	return nil
 }
 
 func (d *Daemon) buildProxy() error {
@@ -229,7 +242,7 @@
 	d.grpc = grpc.NewServer(peer.ServerOptions()...)
 	peerv1.RegisterPeerServer(d.grpc, &peer.Service{
 		GossipHandler: d.gossip, ConfigHandler: d.config,
-		OrderHandler: notServed{}, StreamHandler: notServed{}, EvidenceHandler: notServed{},
+		OrderHandler: d.executor, StreamHandler: notServed{}, EvidenceHandler: notServed{},
 	})
 	return nil
 }
@@ -243,6 +256,7 @@
 	d.gossip.OnItem(d.onItem)
 	d.gossip.OnLag(func(_ string, revision int64) { d.config.NoteRevision(revision) })
 	d.gossip.OnMembers(func(members []membership.Member) { d.budget.SetDaemons(alive(members)) })
+	d.gossip.OnMembers(d.notePeerDeaths)
 	d.gossip.OnGivenUp(d.onGivenUp)
 	d.directory.OnNotice(d.shareNotice)
 }
@@ -331,6 +345,10 @@
 		{Name: "request-sweep", Run: d.proxy.RunSweep},
 		{Name: "peer-connections", Run: d.runPeerConnections},
 	}
+	if d.cloud != nil {
+		duties = append(duties, duty.Duty{Name: "reclaim-notices", Run: d.runNotices},
+			duty.Duty{Name: "instance-list", Run: d.runInstanceList})
+	}
 	for _, one := range duties {
 		if err := d.runner.Start(ctx, one); err != nil {
 			return err
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -93,5 +93,7 @@
 	if ms := n.GetDeadlineUnixMs(); ms > 0 {
 		notice.Deadline = time.UnixMilli(ms)
 	}
-	d.directory.Leave(notice)
+	if !d.daemonNotice(notice) {
+		d.directory.Leave(notice)
+	}
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -2,73 +2,151 @@
 
 import (
 	"context"
-	"crypto/sha256"
+	"time"
 
+	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/orders"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/membership"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/order"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
-// orderAdapter runs orders through the ledger of this daemon.
+// orderAdapter connects the request path with the order executor.
 type orderAdapter struct{ d *Daemon }
 
 // Execute implements proxy.Orders.
 func (a *orderAdapter) Execute(ctx context.Context, call proxy.AppCall) (proxy.AppReply, error) {
-	key, err := a.d.signer.ParseKey(call.OrderKey)
-	if err != nil {
-		return proxy.AppReply{}, err
+	request := &peerv1.ExecuteOrderRequest{
+		Key: call.OrderKey, ClientAccount: call.Caller.Account, Service: call.Service, Method: call.Method,
+		Path: call.Path, Body: call.Body, DeadlineUnixMs: call.Deadline.UnixMilli(), RequestId: call.RequestID,
+	}
+	for _, h := range call.Headers {
+		request.Headers = append(request.Headers, &peerv1.Header{Name: h.Name, Value: h.Value})
 	}
-	hash := sha256.Sum256(append([]byte(call.Service+" "+call.Method+" "+call.Path+"\n"), call.Body...))
-	ticket, err := a.d.ledger.Begin(key, call.Caller.Account, hash)
+	reply, err := a.d.executor.Execute(ctx, request)
 	if err != nil {
 		return proxy.AppReply{}, err
 	}
-	switch ticket.Decision {
-	case order.Start:
-		outcome := a.run(ctx, call, ticket)
-		return replyOf(outcome, false)
-	case order.Wait:
-		outcome, err := a.d.ledger.Wait(ctx, ticket)
-		if err != nil {
-			return proxy.AppReply{}, err
-		}
-		return replyOf(outcome, true)
-	case order.Replay:
-		return replyOf(ticket.Outcome, true)
+	answer := proxy.AppReply{Replayed: reply.Replayed}
+	answer.Status, answer.Body = reply.Response.Status, reply.Response.Body
+	for _, h := range reply.Response.Headers {
+		answer.Headers = append(answer.Headers, app.Header(h))
 	}
-	return proxy.AppReply{}, result.New(result.OrderOutcomeUnknown, result.Unknown, "the order belongs to another daemon")
+	return answer, nil
 }
 
-func (a *orderAdapter) run(ctx context.Context, call proxy.AppCall, ticket order.Ticket) order.Outcome {
-	reply, outcome, err := a.d.proxy.SendOrder(ctx, call, func() error { return a.d.ledger.MarkSent(ticket, call.Deadline) })
-	settled := order.Outcome{Execution: result.Ran, Code: result.OK, Response: &order.Response{Status: reply.Status, Body: reply.Body}}
-	if err != nil {
-		e := result.From(err)
-		settled = order.Outcome{Execution: result.NotRun, Code: e.Code, Detail: e.Detail}
-		if outcome == app.Lost {
-			settled = order.Outcome{Execution: result.Unknown, Code: result.OrderOutcomeUnknown, Detail: err.Error()}
-		}
-	} else {
-		for _, h := range reply.Headers {
-			settled.Response.Headers = append(settled.Response.Headers, order.Header(h))
+// send implements orders.Send.
+func (a *orderAdapter) send(ctx context.Context, request *peerv1.ExecuteOrderRequest, markSent func() error) (
+	response *order.Response, written bool, refused bool, err error,
+) {
+	call := proxy.AppCall{
+		Caller: a.d.callerOf(request.GetClientAccount()), RequestID: request.GetRequestId(),
+		Service: request.GetService(), Method: request.GetMethod(), Path: request.GetPath(),
+		Body: request.GetBody(), OrderKey: request.GetKey(), Deadline: time.UnixMilli(request.GetDeadlineUnixMs()),
+	}
+	for _, h := range request.GetHeaders() {
+		call.Headers = append(call.Headers, app.Header{Name: h.GetName(), Value: h.GetValue()})
+	}
+	reply, outcome, err := a.d.proxy.SendOrder(ctx, call, markSent)
+	if outcome != app.Answered || err != nil {
+		return nil, outcome == app.Lost || outcome == app.Refused, outcome == app.Refused, err
+	}
+	response = &order.Response{Status: reply.Status, Body: reply.Body}
+	for _, h := range reply.Headers {
+		response.Headers = append(response.Headers, order.Header(h))
+	}
+	return response, true, false, nil
+}
+
+// callerOf looks up a client account that another daemon authenticated.
+func (d *Daemon) callerOf(account string) proxy.Caller {
+	spec, metadata, ok := object.Lookup[*object.ClientAccount](d.config.Current().Set, object.KindClientAccount, account)
+	if !ok {
+		return proxy.Caller{Account: account, Spec: &object.ClientAccount{}}
+	}
+	return proxy.Caller{Account: account, Labels: metadata.Labels, Spec: spec}
+}
+
+// memberDirectory finds daemon incarnations in the member list.
+type memberDirectory struct{ d *Daemon }
+
+// Daemon implements orders.Directory.
+func (m memberDirectory) Daemon(id string) (orders.Daemon, bool) {
+	for _, member := range m.d.gossip.Members() {
+		if member.DaemonID == id {
+			return orders.Daemon{
+				Address: member.PeerAddress, State: protoState(member.State), Successor: member.Successor,
+			}, true
 		}
 	}
-	final, err := a.d.ledger.Finish(ticket, settled)
-	if err != nil {
-		return settled
+	return orders.Daemon{}, false
+}
+
+func protoState(s membership.State) peerv1.MemberState {
+	switch s {
+	case membership.Alive:
+		return peerv1.MemberState_MEMBER_STATE_ALIVE
+	case membership.Suspect:
+		return peerv1.MemberState_MEMBER_STATE_SUSPECT
+	case membership.Leaving:
+		return peerv1.MemberState_MEMBER_STATE_LEAVING
+	case membership.Dead:
+		return peerv1.MemberState_MEMBER_STATE_DEAD
+	case membership.Left:
+		return peerv1.MemberState_MEMBER_STATE_LEFT
 	}
-	return final
+	return peerv1.MemberState_MEMBER_STATE_UNSPECIFIED
 }
 
-func replyOf(o order.Outcome, replayed bool) (proxy.AppReply, error) {
-	if err := o.Err(); err != nil {
-		return proxy.AppReply{}, err
+// notePeerDeaths tells the executor about incarnations that are gone.
+func (d *Daemon) notePeerDeaths(members []membership.Member) {
+	for _, m := range members {
+		if m.State == membership.Dead {
+			d.executor.PeerDied(m.DaemonID)
+		}
+	}
+}
+
+// handOverOrders freezes the ledger and sends it to a daemon outside the data
+// centre. Successors are tried in order until one answers.
+func (d *Daemon) handOverOrders(ctx context.Context) bool {
+	d.ledger.Freeze()
+	for _, m := range d.gossip.Overlay().PeersOutside(d.settings.Daemon.DataCentre, d.id, handOverCandidates) {
+		client, err := d.pool.Client(m.PeerAddress)
+		if err != nil {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
+		err = d.executor.HandOver(attempt, m.DaemonID, client)
+		cancel()
+		if err == nil {
+			d.gossip.SetSelf(func(self *membership.Member) { self.Successor = m.DaemonID })
+			return true
+		}
+		d.log.Warn("orders not handed over", "successor", m.Name, "error", err.Error())
 	}
-	reply := proxy.AppReply{Replayed: replayed}
-	reply.Status, reply.Body = o.Response.Status, o.Response.Body
-	for _, h := range o.Response.Headers {
-		reply.Headers = append(reply.Headers, app.Header(h))
+	return false
+}
+
+// Limits of the hand-over at a graceful stop.
+const (
+	handOverCandidates = 3
+	handOverTimeout    = 2 * time.Second
+	settlePause        = 20 * time.Millisecond
+)
+
+// waitOrders waits until no order is running and its outcome is handed over.
+func (d *Daemon) waitOrders(ctx context.Context) error {
+	for d.ledger.Unsettled() > 0 {
+		select {
+		case <-ctx.Done():
+			return result.Wrap(ctx.Err(), result.OrderOutcomeUnknown, result.Unknown, "orders are unsettled")
+		case <-d.clock.After(settlePause):
+		}
+		_ = d.executor.FlushLate(ctx)
 	}
-	return reply, nil
+	return nil
 }
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -127,10 +127,14 @@
 	d.fire("drain")
 	d.gossip.BeginLeave(ctx)
 	d.proxy.BeginDrain()
-	d.ledger.Freeze()
+	d.handOverOrders(ctx)
 	d.fire("handed_over")
-	if err := d.proxy.WaitIdle(ctx); err != nil {
-		d.log.Warn("streams unfinished at the end of the notice", "count", d.proxy.Requests())
+	err := d.proxy.WaitIdle(ctx)
+	if err == nil {
+		err = d.waitOrders(ctx)
+	}
+	if err != nil {
+		d.log.Warn("work unfinished at the end of the notice", "streams", d.proxy.Requests(), "orders", d.ledger.Unsettled())
 		d.fire("deadline")
 		return
 	}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
-)
 
-// maxTransferBytes bounds an exported KV cache.
-const maxTransferBytes = 64 << 20
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreamhttp"
+)
 
 type loadJSON struct {
 	Running int  `json:"running"`
@@ -62,26 +59,16 @@
 }
 
 func (o *OpenAI) exchange(ctx context.Context, method, address, path string, body []byte, timeout time.Duration) ([]byte, error) {
-	if timeout <= 0 {
-		return nil, errors.Wrap(ErrNotSent, "the deadline has passed")
-	}
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(method)
-	req.SetRequestURI("http://" + address + path)
-	if body != nil {
-		req.SetBody(body)
-	}
-	if err := o.http.Do(ctx, req, resp, timeout); err != nil {
+	reply, err := o.http.Exchange(ctx, upstreamhttp.Exchange{
+		Method: method, Address: address, Path: path, Body: body, ContentType: "application/json", Timeout: timeout,
+	})
+	switch {
+	case err != nil:
 		return nil, classifySendError(err)
+	case reply.Status == consts.StatusConflict || reply.Status == consts.StatusPreconditionFailed:
+		return nil, errors.Wrapf(ErrRefused, "%s %s: status %d", method, path, reply.Status)
+	case reply.Status >= 300:
+		return nil, errors.Wrapf(ErrFailed, "%s %s: status %d", method, path, reply.Status)
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	if status := resp.StatusCode(); status == consts.StatusConflict || status == consts.StatusPreconditionFailed {
-		return nil, errors.Wrapf(ErrRefused, "%s %s: status %d", method, path, status)
-	} else if status >= 300 {
-		return nil, errors.Wrapf(ErrFailed, "%s %s: status %d", method, path, status)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxTransferBytes))
-	return data, errors.Wrapf(err, "read reply of %s %s", method, path)
+	return reply.Body, nil
 }
--- a/internal/upstreamhttp/check.go
+++ b/internal/upstreamhttp/check.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 )
 
@@ -23,16 +22,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + c.Path)
-	if err := c.Client.Do(ctx, req, resp, timeout); err != nil {
+	reply, err := c.Client.Exchange(ctx, Exchange{Method: "GET", Address: address, Path: c.Path, Timeout: timeout})
+	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	if resp.StatusCode() >= 500 {
-		return errors.Errorf("health check of %s: status %d", address, resp.StatusCode())
+	if reply.Status >= 500 {
+		return errors.Errorf("health check of %s: status %d", address, reply.Status)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/upstreamhttp/exchange.go
@@ -0,0 +1,57 @@
+package upstreamhttp
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// maxExchangeBytes bounds the reply of an Exchange.
+const maxExchangeBytes = 64 << 20
+
+// Exchange is a request whose whole reply is read into memory.
+type Exchange struct {
+	Method      string
+	Address     string // ip:port
+	Path        string // path and query
+	ContentType string
+	Body        []byte
+	// Timeout bounds the wait for the reply and each read of its body.
+	Timeout time.Duration
+}
+
+// ExchangeReply is a whole reply.
+type ExchangeReply struct {
+	Status  int
+	Refused string // value of HeaderRefused
+	Body    []byte
+}
+
+// Exchange makes one attempt. The error wraps ErrNotConnected if no byte was
+// sent; a reply with any status is no error.
+func (c *Client) Exchange(ctx context.Context, e Exchange) (ExchangeReply, error) {
+	if e.Timeout <= 0 {
+		return ExchangeReply{}, errors.Wrap(ErrNotConnected, "the deadline has passed")
+	}
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(e.Method)
+	req.SetRequestURI("http://" + e.Address + e.Path)
+	if e.Body != nil {
+		req.Header.SetContentTypeBytes([]byte(e.ContentType))
+		req.SetBody(e.Body)
+	}
+	if err := c.Do(ctx, req, resp, e.Timeout); err != nil {
+		return ExchangeReply{}, err
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxExchangeBytes))
+	if err != nil {
+		return ExchangeReply{}, errors.Wrapf(err, "read reply of %s %s", e.Method, e.Path)
+	}
+	return ExchangeReply{Status: resp.StatusCode(), Refused: resp.Header.Get(HeaderRefused), Body: body}, nil
+}
