Report calls that gRPC repeated and then could not send as not sent

Cause: on two CPUs the test of a refused connection failed in two ways. A call that gRPC repeated by itself, because the store had not processed it, kept its sent mark and was reported as unknown when the new dial was refused. A write on a connection whose end was not yet noticed was reported as unknown, which is right, but the test did not allow for it. Ruled out: a longer pause in the test, because it only hides the order. Change: a repeated attempt starts as not sent. The test waits until the client has noticed the end of the connection and then asks for the same error as before. A new test writes while connections break and replies are lost, and compares each reported outcome with the stored keys; it fails if sent calls are not marked.

--- a/internal/store/etcdv3/client_test.go
+++ b/internal/store/etcdv3/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,6 +83,12 @@
 			_, err := put(client, "/k", "before")
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(server.SetFaults(c.faults)).To(Succeed())
+			if c.faults.Down == standin.DownRefuse {
+				// A write on the old connection, before its end is noticed, is
+				// rightly unknown; TestUnavailableWritesNeverApply covers it.
+				g.Eventually(func() error { _, err := client.Get(context.Background(), "/k"); return err }).
+					Should(MatchError(ContainSubstring("refused")))
+			}
 			start := time.Now()
 			_, err = put(client, "/k", "after")
 			g.Expect(err).To(MatchError(c.want))
@@ -101,6 +109,64 @@
 	}
 }
 
+// Guards against a write that is reported as not sent and was applied, or as
+// applied and was not, while connections break at random moments.
+func TestUnavailableWritesNeverApply(t *testing.T) {
+	g := NewWithT(t)
+	server, client := startStore(t, standin.Options{})
+	var keys []string
+	var errs []error
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			keys = append(keys, fmt.Sprintf("/k/%06d", i))
+			_, err := put(client, keys[i], "v")
+			errs = append(errs, err)
+			time.Sleep(200 * time.Microsecond)
+		}
+	}()
+	for range 12 {
+		time.Sleep(150 * time.Millisecond)
+		g.Expect(server.SetFaults(standin.Faults{Down: standin.DownRefuse})).To(Succeed())
+		time.Sleep(5 * time.Millisecond)
+		g.Expect(server.SetFaults(standin.Faults{LoseReplies: 0.1, LoseByReset: true})).To(Succeed())
+	}
+	close(stop)
+	<-done
+	var entries []store.KeyValue
+	g.Eventually(func() (err error) {
+		entries, _, err = client.List(context.Background(), "/k/")
+		return err
+	}, 3*time.Second).Should(Succeed())
+	applied := make(map[string]bool)
+	for _, entry := range entries {
+		applied[entry.Key] = true
+	}
+	outcomes := make(map[string]int)
+	for i, key := range keys {
+		switch {
+		case errs[i] == nil:
+			outcomes["ok"]++
+			g.Expect(applied).To(HaveKey(key))
+		case errors.Is(errs[i], store.ErrUnavailable):
+			outcomes["unavailable"]++
+			g.Expect(applied).NotTo(HaveKey(key), errs[i].Error())
+		default:
+			outcomes["unknown"]++
+			g.Expect(errs[i]).To(MatchError(store.ErrOutcomeUnknown))
+		}
+	}
+	t.Log(outcomes)
+	g.Expect(outcomes).To(HaveLen(3), "the test must meet all outcomes")
+}
+
 // Guards against calls beyond the store's limit being treated as writes with
 // an unknown outcome.
 func TestLimitedCallsAreUnavailable(t *testing.T) {
--- a/internal/store/etcdv3/errors.go
+++ b/internal/store/etcdv3/errors.go
@@ -27,7 +27,9 @@
 }
 
 // sentTracker is a stats.Handler that sets the flags of trackSent. A call that
-// fails for want of a connection never reaches the OutHeader event.
+// fails for want of a connection never reaches the OutHeader event. gRPC
+// repeats a call by itself only if the store has not processed it, so such an
+// attempt starts as not sent.
 type sentTracker struct{}
 
 // TagRPC implements stats.Handler.
@@ -35,10 +37,16 @@
 
 // HandleRPC implements stats.Handler.
 func (sentTracker) HandleRPC(ctx context.Context, event stats.RPCStats) {
-	if _, ok := event.(*stats.OutHeader); !ok {
+	sent, ok := ctx.Value(sentKey{}).(*atomic.Bool)
+	if !ok {
 		return
 	}
-	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+	switch e := event.(type) {
+	case *stats.Begin:
+		if e.IsTransparentRetryAttempt {
+			sent.Store(false)
+		}
+	case *stats.OutHeader:
 		sent.Store(true)
 	}
 }
