Find changes by change ID and test silent stores

Cause: an answer "store outcome unknown" names a change ID that the audit trail could not be asked for, and Apply compared an unchecked object with the stored one, which panics if kind and specification differ.

Ruled out: a separate lookup by change ID in the store, which would need one more key in each transaction.

Change: audit filter ChangeID; Apply validates each object and refuses duplicates first; the property test covers silent stores, late settlement and acknowledged changes that must not get lost; the race test loses replies.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -102,7 +102,7 @@
 	f := filled(g, 5432)
 	trail := NewTrail(f)
 	for _, filter := range []Filter{
-		{}, {Account: "ops3"}, {Kind: object.KindUpstream, Name: "u2", Limit: 17},
+		{}, {Account: "ops3"}, {ChangeID: "c4000"}, {Kind: object.KindUpstream, Name: "u2", Limit: 17},
 		{Since: epoch.Add(1000 * time.Second), Until: epoch.Add(1003 * time.Second)}, {Name: "none"},
 	} {
 		var want, got []int64
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -31,6 +31,8 @@
 // Filter selects change records. Zero fields match everything.
 type Filter struct {
 	Account string
+	// ChangeID finds the record of a change whose outcome was unknown.
+	ChangeID string
 	// Kind and Name select records that changed such an object.
 	Kind object.Kind
 	Name string
@@ -153,6 +155,9 @@
 	if f.Account != "" && f.Account != r.Account {
 		return false
 	}
+	if f.ChangeID != "" && f.ChangeID != r.ChangeID {
+		return false
+	}
 	if !f.Since.IsZero() && r.Time.Before(f.Since) || !f.Until.IsZero() && !r.Time.Before(f.Until) {
 		return false
 	}
--- a/internal/config/commit_test.go
+++ b/internal/config/commit_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -60,13 +61,20 @@
 }
 
 // Guards against lost updates: every increment that was reported as stored
-// must be in the final value, and none that was refused.
+// must be in the final value, and none that was refused, even if replies are lost.
 func TestRacingOperatorsLoseNoUpdate(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, fan := newFakeStore(), &fanOut{}
 	managers := []*Manager{newTestManager(s, fan), newTestManager(s, fan), newTestManager(s, nil), newTestManager(s, nil)}
 	fan.to = managers
 	ctx := context.Background()
+	var replies atomic.Int64
+	s.setFaults(nil, func() error {
+		if replies.Add(1)%5 == 0 {
+			return store.ErrOutcomeUnknown
+		}
+		return nil
+	})
 	_, err := managers[0].Commit(ctx, operator, put(upstream(0, map[string]string{"count": "0"})))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	const workers, rounds = 16, 10
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -41,8 +41,9 @@
 	snapshot := o.manager.Current()
 	applied := Applied{Revision: snapshot.Revision}
 	var changes []Change
+	seen := make(map[object.Ref]bool, len(objects))
 	for _, put := range objects {
-		change, err := applyChange(snapshot, put)
+		change, err := applyChange(snapshot, put, seen)
 		if err != nil {
 			o.manager.refused(actor, []Change{{Put: put}}, err)
 			return applied, err
@@ -93,7 +94,14 @@
 }
 
 // applyChange returns the change for an object, or nil if it is in force.
-func applyChange(snapshot *Snapshot, put *object.Object) (*Change, error) {
+func applyChange(snapshot *Snapshot, put *object.Object, seen map[object.Ref]bool) (*Change, error) {
+	if err := put.Validate(); err != nil {
+		return nil, err
+	}
+	if seen[put.Ref()] {
+		return nil, result.New(result.InvalidObject, result.NotRun, "%s: the change set contains this object twice", put.Ref())
+	}
+	seen[put.Ref()] = true
 	old := snapshot.Set.Get(put.Ref())
 	if m, ok := put.Spec.(*object.Move); ok {
 		return applyMove(old, put, m)
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -59,6 +59,8 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(applied.Changed).To(gomega.BeEmpty())
 	g.Expect(managers[0].Current()).To(gomega.BeIdenticalTo(before))
+	twice := []*object.Object{upstream(1, nil), upstream(1, nil)}
+	g.Expect(codeOf(services[0].Apply(context.Background(), operator, twice))).To(gomega.Equal(result.InvalidObject))
 	broken := upstream(1, nil)
 	broken.Spec = &object.Upstream{Address: "x", DataCentre: "dc"}
 	g.Expect(codeOf(services[0].Apply(context.Background(), operator, []*object.Object{broken}))).To(gomega.Equal(result.InvalidObject))
--- a/internal/config/property_test.go
+++ b/internal/config/property_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
 
 	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
-	"pgregory.net/rapid"
 )
 
 func names(list []*object.Object) []string {
@@ -74,10 +77,19 @@
 
 func (m *model) Broadcast(_ context.Context, item *peerv1.Item) { m.items = append(m.items, item) }
 
+// instantClock skips the pauses between attempts.
+type instantClock struct{ clockwork.Clock }
+
+func (c instantClock) After(time.Duration) <-chan time.Time {
+	ch := make(chan time.Time, 1)
+	ch <- c.Now()
+	return ch
+}
+
 func newModel(daemons int) *model {
 	m := &model{store: newFakeStore(), highest: make([]int64, daemons), acked: map[int64]string{}}
 	for i := range daemons {
-		d := newTestManager(m.store, m)
+		d := NewManager(Options{Store: m.store, Broadcaster: m, Logger: quiet(), Clock: instantClock{clockwork.NewRealClock()}})
 		d.Subscribe(func(s *Snapshot) {
 			if s.Revision < m.highest[i] {
 				panic(fmt.Sprintf("revision fell from %d to %d", m.highest[i], s.Revision))
@@ -92,13 +104,28 @@
 func (m *model) step(t *rapid.T) {
 	ctx := context.Background()
 	d := m.daemons[rapid.IntRange(0, len(m.daemons)-1).Draw(t, "daemon")]
-	switch rapid.SampledFrom([]string{"commit", "commit", "lose reply", "deliver", "load", "watch", "back up", "restore", "unavailable"}).Draw(t, "step") {
+	switch rapid.SampledFrom([]string{"commit", "commit", "lose reply", "silence", "settle", "deliver", "load", "watch", "back up", "restore", "unavailable"}).Draw(t, "step") {
 	case "commit":
 		m.commit(t, d)
 	case "lose reply":
 		m.store.setFaults(nil, func() error { return store.ErrOutcomeUnknown })
 		m.commit(t, d)
 		m.store.setFaults(nil, nil)
+	case "silence":
+		silent := false
+		m.store.setFaults(func(string) error {
+			if silent {
+				return store.ErrOutcomeUnknown
+			}
+			return nil
+		}, func() error {
+			silent = true
+			return store.ErrOutcomeUnknown
+		})
+		m.commit(t, d)
+		m.store.setFaults(nil, nil)
+	case "settle":
+		d.SettleUnknown(ctx)
 	case "unavailable":
 		m.store.setFaults(func(string) error { return store.ErrUnavailable }, nil)
 		m.commit(t, d)
@@ -149,7 +176,8 @@
 
 // Guards against any order of commits, lost replies, outages, restored
 // backups, late and repeated deliveries that lowers a daemon's revision,
-// acknowledges a revision twice, or makes two daemons differ at one revision.
+// acknowledges a revision twice, loses an acknowledged change, or makes two
+// daemons differ at one revision.
 func TestRevisionNeverFalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(3)
@@ -167,5 +195,17 @@
 				seen[s.Revision] = s.ChangeID
 			}
 		}
+		latest := m.daemons[0].Current()
+		for _, d := range m.daemons {
+			if _ = d.LoadStore(context.Background()); d.Current().Revision > latest.Revision {
+				latest = d.Current()
+			}
+		}
+		for revision, name := range m.acked {
+			o := latest.Set.Get(object.Ref{Kind: object.KindUpstream, Name: name})
+			if o == nil || o.Metadata.Revision < revision {
+				t.Fatalf("acknowledged revision %d of %s is lost", revision, name)
+			}
+		}
 	})
 }
