--- /dev/null
+++ b/test/capacity/main.go
@@ -0,0 +1,75 @@
+// Command capacity measures how the cost of the system grows with its size.
+// Each quantity is measured at three sizes or more in this process, against
+// light stand-ins, and a line is fitted to it. docs/CAPACITY.md multiplies the
+// slopes by the target size.
+//
+// The exit status is 1 if a bound is missed. Bounds come from the limits of
+// the design page: 4.7% of a core, 128 MB and 14 KB/s of control traffic for a
+// daemon, and the calls per second of the store.
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+type options struct {
+	Quick bool     `help:"Shorter runs with fewer repetitions."`
+	Only  []string `help:"Sections to run; all by default." placeholder:"NAME"`
+	Out   string   `help:"Directory of slopes.json and slopes.md; not written if only some sections run, unless it is given." placeholder:"DIR"`
+}
+
+// section is a group of measurements that share a set-up.
+type section struct {
+	name string
+	run  func(*run) error
+}
+
+func sections() []section {
+	return []section{
+		{"config", measureConfig},
+		{"routing", measureRouting},
+		{"stream", measureStream},
+		{"loopback", measureLoopback},
+	}
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Description("Measures how the cost of the system grows."))
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r := &run{quick: o.Quick, started: time.Now()}
+	for _, s := range sections() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
+			continue
+		}
+		r.section = s.name
+		start := time.Now()
+		if err := s.run(r); err != nil {
+			fmt.Fprintf(os.Stderr, "capacity: section %s: %v\n", s.name, err)
+			os.Exit(2)
+		}
+		fmt.Printf("section %s took %.1f s\n", s.name, time.Since(start).Seconds())
+	}
+	if err := r.finish(os.Stdout, outputDirectory(o)); err != nil {
+		fmt.Fprintf(os.Stderr, "capacity: %v\n", err)
+		os.Exit(2)
+	}
+	if r.missed() {
+		os.Exit(1)
+	}
+}
+
+// outputDirectory keeps a partial run from replacing the results of a full one.
+func outputDirectory(o options) string {
+	if o.Out == "" && len(o.Only) == 0 && !o.Quick {
+		return "docs/capacity"
+	}
+	return o.Out
+}
