Copy in-flight streams to a peer on a graceful stop

Cause: a stream that outlasts the notice of its daemon was cut. Change: a stopping daemon copies every in-flight record to a peer in another data centre, emits further events only after their acknowledgement, and gives unfinished requests to the peer shortly before the deadline; readers get a moved event. Requests and attempts follow their statecharts; an attempt's chart decides whether bytes were written. A request without an available upstream waits instead of failing after three picks. An answer without the usage that was asked for counts as incomplete. Ruled out: records keyed by request ID alone; client accounts may use equal IDs. Conclusion: hand-over is wired, not yet proved.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/gossip"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/handover"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/orders"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
@@ -66,6 +67,8 @@
 	ledger    *order.Ledger
 	executor  *orders.Executor
 	cloud     cloud.Provider // nil without a cloud API
+	keeper    *handover.Keeper
+	rings     rings
 	proxy     *proxy.Proxy
 	server    *server.Server
 	calls     *ants.Pool
@@ -83,7 +86,7 @@
 func New(s *settings.Settings, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, clock: clockwork.NewRealClock(), log: log.With("daemon", s.Daemon.Name),
-		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}),
+		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}), rings: newRings(),
 	}
 	steps := []func() error{d.buildStore, d.buildPeers, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
 	for _, step := range steps {
@@ -173,7 +176,7 @@
 		d.cloud = cloud.NewHTTP(client, d.settings.Platform.CloudAddress, cloudTimeout)
 	}
 	d.app = app.NewHTTP(client, int64(d.settings.Limits.MaxStreamBytes))
-	d.checker = upstreamhttp.Checker{Client: client, Path: "/healthz"}
+	d.checker = upstreamhttp.Checker{Client: client, Path: "/health"}
 	d.directory = upstreams.New(upstreams.Options{
 		Clock: d.clock, Self: d.id, DataCentre: d.settings.Daemon.DataCentre,
 		SubsetSize: d.settings.Upstreams.SubsetSize,
@@ -219,17 +222,19 @@
 		return errors.Wrap(err, "create pool of upstream calls")
 	}
 	d.calls = calls
-	d.proxy = proxy.New(proxy.Options{
+	d.keeper = handover.NewKeeper(d.clock, handover.DefaultLimits(), d.takeOverStream)
+	d.proxy, err = proxy.New(proxy.Options{
 		Clock: d.clock, Log: d.log, Directory: d.directory, Admission: d.admission,
 		Versions: &proxy.RouteVersions{Config: d.config.Current},
 		Engine:   d.engine, App: d.app, Orders: &orderAdapter{d}, Config: d.config.Current,
 		Observe: func(proxy.Observation) {}, Calls: d.calls,
+		Records: d.keeper, Accounts: d.callerOf,
 		RequestTimeout: d.settings.Limits.RequestTimeout, FirstByteTimeout: d.settings.Upstreams.FirstByteTimeout,
 		TokenTimeout: d.settings.Upstreams.TokenTimeout, MigrationDeadline: d.settings.Upstreams.MigrationDeadline,
 		ResumeWindow: d.settings.Limits.ResumeWindow, MaxStreamBytes: d.settings.Limits.MaxStreamBytes,
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes,
 	})
-	return nil
+	return err
 }
 
 func (d *Daemon) buildServer() error {
@@ -242,7 +247,7 @@
 	d.grpc = grpc.NewServer(peer.ServerOptions()...)
 	peerv1.RegisterPeerServer(d.grpc, &peer.Service{
 		GossipHandler: d.gossip, ConfigHandler: d.config,
-		OrderHandler: d.executor, StreamHandler: notServed{}, EvidenceHandler: notServed{},
+		OrderHandler: d.executor, StreamHandler: d.keeper, EvidenceHandler: notServed{},
 	})
 	return nil
 }
@@ -343,6 +348,9 @@
 		{Name: "health", Run: monitor.RunChecks},
 		{Name: "capacity", Run: d.runCapacity},
 		{Name: "request-sweep", Run: d.proxy.RunSweep},
+		{Name: "notice-share", Run: d.runNoticeShare},
+		{Name: "takeovers", Run: d.runTakeovers},
+		{Name: "audit-trim", Run: d.runAuditTrim},
 		{Name: "peer-connections", Run: d.runPeerConnections},
 	}
 	if d.cloud != nil {
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -5,6 +5,7 @@
 	"time"
 
 	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/audit"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/health"
 )
@@ -78,11 +79,7 @@
 		notice.DeadlineUnixMs = n.Deadline.UnixMilli()
 	}
 	item := &peerv1.Item{Kind: &peerv1.Item_UpstreamNotice{UpstreamNotice: notice}}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), loadRetryInterval)
-		defer cancel()
-		broadcaster{d.gossip, d.log}.Broadcast(ctx, item)
-	}()
+	d.rings.notices.Put(context.Background(), item)
 }
 
 func (d *Daemon) onUpstreamNotice(n *peerv1.UpstreamNotice) {
@@ -97,3 +94,13 @@
 		d.directory.Leave(notice)
 	}
 }
+
+// runAuditTrim keeps the audit trail within its retention. One daemon of the
+// fleet does it.
+func (d *Daemon) runAuditTrim(ctx context.Context) error {
+	trim := audit.Trim{
+		Trail: d.trail, Clock: d.clock, Logger: d.log,
+		Holds: func() bool { return d.gossip.Overlay().Candidate("audit-trim", 1) },
+	}
+	return trim.Run(ctx)
+}
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -127,16 +127,38 @@
 	d.fire("drain")
 	d.gossip.BeginLeave(ctx)
 	d.proxy.BeginDrain()
-	d.handOverOrders(ctx)
-	d.fire("handed_over")
-	err := d.proxy.WaitIdle(ctx)
-	if err == nil {
-		err = d.waitOrders(ctx)
+	copier := newStreamCopier(d)
+	defer copier.stop()
+	if err := copier.start(ctx); err != nil {
+		d.log.Warn("streams not copied", "error", err.Error())
 	}
-	if err != nil {
+	if !d.handOverOrders(ctx) {
+		d.log.Warn("orders stay frozen without a successor")
+	}
+	d.fire("handed_over")
+	if err := d.finishWork(ctx, copier); err != nil {
 		d.log.Warn("work unfinished at the end of the notice", "streams", d.proxy.Requests(), "orders", d.ledger.Unsettled())
 		d.fire("deadline")
 		return
 	}
 	d.fire("drained")
 }
+
+// moveReserve is the part of the notice that is kept for giving unfinished
+// streams to the peer, at most a quarter of it.
+const moveReserve = time.Second
+
+// finishWork waits for streams and orders and gives away what is left shortly
+// before the deadline.
+func (d *Daemon) finishWork(ctx context.Context, copier *streamCopier) error {
+	reserve := min(moveReserve, d.deadline.Sub(d.clock.Now())/4)
+	streams, cancel := context.WithDeadline(ctx, d.deadline.Add(-reserve))
+	defer cancel()
+	if err := d.proxy.WaitIdle(streams); err != nil {
+		copier.finish(ctx)
+		if err := d.proxy.WaitIdle(ctx); err != nil {
+			return err
+		}
+	}
+	return d.waitOrders(ctx)
+}
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -92,7 +92,7 @@
 	defer cancel()
 	watchdog := time.AfterFunc(call.FirstByteTimeout, cancel)
 	defer watchdog.Stop()
-	state := streamState{callback: f}
+	state := streamState{callback: f, reported: -1}
 	err = reader.ForEach(ctx, func(e *sse.Event) error {
 		watchdog.Reset(call.TokenTimeout)
 		return state.event(e.Data)
@@ -165,6 +165,8 @@
 
 func (s *streamState) result(err error) error {
 	switch {
+	case s.done && s.finished && s.reported < 0:
+		return errors.Wrap(ErrIncomplete, "the stream ended without the usage that was asked for")
 	case s.done && s.finished && s.reported > s.tokens:
 		return errors.Wrapf(ErrIncomplete, "%d of %d tokens arrived", s.tokens, s.reported)
 	case s.done && s.finished:
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -16,19 +16,6 @@
 // Attach counts a connected reader; the returned function ends it.
 func (p *Proxy) Attach(f *Inflight) func() { return f.attach(p.options.Clock.Now) }
 
-// Resume returns a model request of the caller that runs here or was handed
-// over to this daemon.
-func (p *Proxy) Resume(caller Caller, id string) (*Inflight, error) {
-	if f := p.registry.get(caller.Account, id); f != nil {
-		p.metrics.resumes.Inc()
-		return f, nil
-	}
-	if f := p.takeOver(caller, id); f != nil {
-		return f, nil
-	}
-	return nil, result.New(result.StreamUnknown, result.Unknown, "no request %q of this client account is known here", id)
-}
-
 // Whole waits for the end of the answer and returns it as one completion.
 func (f *Inflight) Whole(ctx context.Context) ([]byte, error) {
 	last := int64(0)
--- a/internal/proxy/chatattempt.go
+++ b/internal/proxy/chatattempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,6 +12,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/routing"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
 )
 
 // attemptEnd says how an attempt ended.
@@ -20,6 +22,8 @@
 	final   bool  // no other upstream would do better
 	written bool  // bytes may have reached the upstream
 	refused bool  // the upstream refused without running the request
+	// unavailable: no upstream could be picked.
+	unavailable bool
 }
 
 var errUpstreamLeaving = errors.New("upstream is leaving")
@@ -35,8 +39,9 @@
 	}
 	upstream, err := r.pick(ctx)
 	if err != nil {
-		return attemptEnd{err: err, refused: true}
+		return attemptEnd{err: err, unavailable: true}
 	}
+	r.waiting = time.Time{}
 	body, err := r.inflight.chat.upstreamBody(r.model(), r.enginePriority(), text, tokens)
 	if err != nil {
 		upstream.End(upstreams.FailureNone)
@@ -98,38 +103,44 @@
 		Address: u.Address, AttemptID: attemptID, Body: body,
 		FirstByteTimeout: r.proxy.options.FirstByteTimeout, TokenTimeout: r.proxy.options.TokenTimeout,
 	}
-	relay := &relay{run: r, upstream: u, ctx: ctx, firstByte: firstByte}
+	relay := &relay{run: r, upstream: u, ctx: ctx, firstByte: firstByte, machine: r.proxy.charts.attempt.Machine()}
 	err := r.proxy.options.Engine.Stream(ctx, call, u.ObserveLoad, relay.chunk)
-	return r.classify(ctx, u, err)
+	end := r.classify(ctx, relay.machine, err)
+	end.written = end.err != nil && relay.machine.State() != stateNotRun
+	if end.err != nil && !end.final {
+		r.exclude(u)
+	}
+	return end
 }
 
-func (r *chatRun) classify(ctx context.Context, u *upstreams.Attempt, err error) attemptEnd {
+// classify passes the events that err stands for to the attempt's chart and
+// says how the request goes on.
+func (r *chatRun) classify(ctx context.Context, m *statechart.Machine, err error) attemptEnd {
 	switch {
 	case err == nil:
+		fireAll(m, eventEnd)
 		return attemptEnd{}
 	case errors.Is(context.Cause(ctx), errUpstreamLeaving):
-		r.exclude(u)
-		return attemptEnd{err: errUpstreamLeaving, migrate: true, written: true}
+		fireAll(m, eventConnect, eventSend, eventLeaving, eventAbandon)
+		return attemptEnd{err: errUpstreamLeaving, migrate: true}
 	case ctx.Err() != nil:
-		return attemptEnd{err: deadlineError(ctx), final: true, written: true}
+		fireAll(m, eventConnect, eventSend, eventAbandon)
+		return attemptEnd{err: deadlineError(ctx), final: true}
+	case errors.Is(err, engine.ErrNotSent):
+		fireAll(m, eventBreak)
+		return attemptEnd{err: err}
 	case errors.Is(err, engine.ErrRejected):
+		fireAll(m, eventConnect, eventSend, eventRefuse)
 		return attemptEnd{err: result.Wrap(err, result.BadRequest, result.NotRun, "the upstream rejected the request"), final: true}
-	case errors.Is(err, engine.ErrLeaving):
-		r.exclude(u)
-		return attemptEnd{err: err, refused: true, migrate: true}
 	case errors.Is(err, engine.ErrRefused):
-		r.exclude(u)
-		return attemptEnd{err: err, refused: true, written: true}
-	case errors.Is(err, engine.ErrNotSent):
-		r.exclude(u)
-		return attemptEnd{err: err}
+		fireAll(m, eventConnect, eventSend, eventRefuse)
+		return attemptEnd{err: err, refused: true, migrate: errors.Is(err, engine.ErrLeaving)}
 	case errors.Is(err, engine.ErrForeign):
 		r.proxy.metrics.foreignReplies.Inc()
-	case result.CodeOf(err) == result.BodyTooLarge:
-		return attemptEnd{err: err, final: true, written: true}
 	}
-	r.exclude(u)
-	return attemptEnd{err: err, written: true}
+	fireAll(m, eventConnect, eventSend, eventBreak)
+	code := result.CodeOf(err)
+	return attemptEnd{err: err, final: code == result.BodyTooLarge || code == result.StreamMoved}
 }
 
 func (r *chatRun) exclude(u *upstreams.Attempt) { r.excluded = append(r.excluded, u.Name) }
@@ -202,12 +213,14 @@
 	upstream  *upstreams.Attempt
 	ctx       context.Context
 	firstByte func()
+	machine   *statechart.Machine
 	started   bool
 }
 
 func (l *relay) chunk(c engine.Chunk) error {
 	if !l.started {
 		l.started = true
+		fireAll(l.machine, eventConnect, eventSend, eventReply)
 		l.upstream.FirstByte()
 		l.firstByte()
 	}
--- a/internal/proxy/chatflow.go
+++ b/internal/proxy/chatflow.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := newInflight(call.RequestID, call.Caller.Account, chat, call.Body, deadline, p.options.Clock.Now())
+	f := p.newInflight(call.RequestID, call.Caller.Account, chat, call.Body, deadline)
 	f.Session = sessionOf(call, chat)
 	f, created := p.registry.add(f)
 	if !created {
@@ -119,6 +119,7 @@
 	excluded []string
 	number   int // attempts that count against the retry limit
 	usage    usage
+	waiting  time.Time // since when no upstream could be picked; zero: one was
 
 	kvMu sync.Mutex
 	kv   []byte // KV cache exported from a leaving upstream
@@ -136,12 +137,13 @@
 		return err
 	}
 	runCtx, cancel := context.WithDeadline(context.Background(), r.inflight.Deadline)
-	r.inflight.cancel = cancel
-	if err := p.register(r.inflight); err != nil {
+	r.inflight.setCancel(cancel)
+	if err := p.register(); err != nil {
 		cancel()
 		ticket.Done()
 		return err
 	}
+	r.inflight.fire(eventAdmit)
 	err = p.options.Calls.Submit(func() {
 		defer cancel()
 		defer ticket.Done()
@@ -186,11 +188,13 @@
 	policy := r.proxy.policyOf(r.inflight.Service, r.spec)
 	policy.budget.Offer()
 	for {
+		r.inflight.fire(eventStart)
 		end := r.attempt(ctx, firstByte)
 		if end.err == nil {
 			r.complete(ctx)
 			return
 		}
+		r.inflight.fire(eventAttemptLost)
 		if end.migrate {
 			r.proxy.metrics.migrations.Inc()
 			continue
@@ -207,6 +211,9 @@
 	if end.final {
 		return end.err
 	}
+	if end.unavailable {
+		return r.awaitUpstream(ctx, end.err)
+	}
 	r.number++
 	_, tokens := r.inflight.emitted()
 	wait, err := policy.policy.Next(retry.Attempt{
@@ -227,6 +234,31 @@
 	}
 }
 
+// Waiting for an upstream.
+const (
+	upstreamPoll = 50 * time.Millisecond
+	// unstartedWait bounds the wait of a request without output. One with
+	// output waits until its deadline, since its caller has a partial answer.
+	unstartedWait = 5 * time.Second
+)
+
+// awaitUpstream pauses until another pick is worthwhile, or returns err.
+func (r *chatRun) awaitUpstream(ctx context.Context, err error) error {
+	now := r.proxy.options.Clock.Now()
+	if r.waiting.IsZero() {
+		r.waiting = now
+	}
+	if len(r.inflight.After(0).Events) == 0 && now.Sub(r.waiting) > unstartedWait {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return deadlineError(ctx)
+	case <-r.proxy.options.Clock.After(upstreamPoll):
+		return nil
+	}
+}
+
 // rechoose follows a verdict on the version that was reached while the request
 // was running.
 func (r *chatRun) rechoose() {
@@ -251,7 +283,7 @@
 func (r *chatRun) fail(err error) {
 	e := result.From(err)
 	r.proxy.options.Log.Info("request failed", "request", r.inflight.ID, "account", r.inflight.Account,
-		"service", r.inflight.Service, "version", r.choice.Version, "code", int(e.Code), "execution", string(e.Execution),
+		"service", r.inflight.Service, "version", r.choice.Version, "state", r.inflight.State(), "code", int(e.Code), "execution", string(e.Execution),
 		"error", e.Error())
 	r.inflight.finish(e)
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -2,27 +2,9 @@
 
 import "context"
 
-// Keeper holds records of streams that other daemons handed over.
-type Keeper interface {
-	// Take gives up the record of a request to the caller, once.
-	Take(account, requestID string) (*Inflight, bool)
-}
-
-// register installs the gate of a draining daemon on a request that is still
-// being started.
-func (p *Proxy) register(f *Inflight) error {
-	p.mu.Lock()
-	gate, onStart := p.gate, p.onStart
-	p.mu.Unlock()
-	if gate == nil {
-		return nil
-	}
-	if err := onStart(f); err != nil {
-		return err
-	}
-	f.setGate(gate)
-	return nil
-}
+// register checks again that the daemon accepts requests. A request that
+// passes is seen by Running after BeginDrain.
+func (p *Proxy) register() error { return p.refuseIfDraining() }
 
 // BeginDrain refuses new requests from now on.
 func (p *Proxy) BeginDrain() {
@@ -31,6 +13,9 @@
 	p.draining = true
 }
 
+// Running returns the unfinished model requests.
+func (p *Proxy) Running() []*Inflight { return p.registry.running() }
+
 // WaitIdle waits until no model request is running or ctx ends.
 func (p *Proxy) WaitIdle(ctx context.Context) error {
 	for _, f := range p.registry.running() {
@@ -49,16 +34,28 @@
 	return nil
 }
 
-// takeOver continues a request that another daemon handed over. It returns nil if
-// there is none.
-func (p *Proxy) takeOver(caller Caller, id string) *Inflight {
-	if p.keeper == nil {
-		return nil
-	}
-	f, ok := p.keeper.Take(caller.Account, id)
-	if !ok {
-		return nil
+// Copy passes the request and its events to open and, if that succeeds, lets
+// every later event pass gate before a reader sees it. No event is emitted in
+// between.
+func (f *Inflight) Copy(open func(events []Event) error, gate Gate) error {
+	f.emitMu.Lock()
+	defer f.emitMu.Unlock()
+	if err := open(f.After(0).Events); err != nil {
+		return err
 	}
-	p.metrics.handovers.Inc()
-	return f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate = gate
+	return nil
+}
+
+// Move stops the request here and tells readers the addresses at which it
+// continues.
+func (f *Inflight) Move(addresses []string) {
+	f.mu.Lock()
+	f.moved = addresses
+	fireAll(f.machine, eventMove)
+	f.notifyLocked()
+	f.mu.Unlock()
+	f.stop()
 }
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
 )
 
 // Event is one emitted event of a stream. IDs count from 1 without gaps.
@@ -18,7 +19,7 @@
 
 // Gate is called with events before they become visible to the caller. It
 // returns when another daemon holds them.
-type Gate func(ctx context.Context, requestID string, events []Event) error
+type Gate func(ctx context.Context, recordID string, events []Event) error
 
 // Inflight is one model request: what is needed to finish it, on this daemon
 // or on another, and the events emitted so far.
@@ -38,6 +39,7 @@
 	emitMu sync.Mutex
 
 	mu      sync.Mutex
+	machine *statechart.Machine
 	events  []Event
 	bytes   int
 	done    bool
@@ -50,9 +52,11 @@
 	cancel  context.CancelFunc
 }
 
-func newInflight(id, account string, chat *chatRequest, body []byte, deadline, now time.Time) *Inflight {
+func (p *Proxy) newInflight(id, account string, chat *chatRequest, body []byte, deadline time.Time) *Inflight {
+	now := p.options.Clock.Now()
 	return &Inflight{
-		ID: id, Account: account, Service: chat.service, Body: body, Deadline: deadline,
+		machine: p.charts.request.Machine(),
+		ID:      id, Account: account, Service: chat.service, Body: body, Deadline: deadline,
 		chat: chat, created: now, wake: make(chan struct{}), idle: now,
 	}
 }
@@ -72,29 +76,21 @@
 	gate := f.gate
 	f.mu.Unlock()
 	if gate != nil {
-		if err := gate(ctx, f.ID, []Event{event}); err != nil {
+		if err := gate(ctx, RecordID(f.Account, f.ID), []Event{event}); err != nil {
 			return err
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.events) == 0 {
+		fireAll(f.machine, eventFirst)
+	}
 	f.events = append(f.events, event)
 	f.bytes += len(event.Data)
 	f.notifyLocked()
 	return nil
 }
 
-// setGate installs a gate and returns the events emitted before it. No event
-// is emitted between the two.
-func (f *Inflight) setGate(gate Gate) []Event {
-	f.emitMu.Lock()
-	defer f.emitMu.Unlock()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.gate = gate
-	return append([]Event{}, f.events...)
-}
-
 func (f *Inflight) finish(failure *result.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -103,14 +99,11 @@
 	}
 	f.done = true
 	f.failure = failure
-	f.notifyLocked()
-}
-
-// move tells readers that the stream continues elsewhere.
-func (f *Inflight) move(addresses []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.moved = addresses
+	if failure == nil {
+		fireAll(f.machine, eventComplete)
+	} else {
+		fireAll(f.machine, failureEvent(f.machine.State()))
+	}
 	f.notifyLocked()
 }
 
@@ -149,15 +142,37 @@
 	}
 }
 
+func (f *Inflight) setCancel(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = cancel
+}
+
+// stop cancels the attempt that is running.
+func (f *Inflight) stop() {
+	f.mu.Lock()
+	cancel := f.cancel
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
 // attach counts a reader; the returned function ends it.
 func (f *Inflight) attach(now func() time.Time) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.readers++
+	if f.machine.State() == stateDetached {
+		fireAll(f.machine, eventAdmit)
+	}
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.readers--
+		if f.readers == 0 && f.machine.State() == stateStreaming {
+			fireAll(f.machine, eventCallerGone)
+		}
 		f.idle = now()
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,7 +21,6 @@
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/retry"
-	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
 )
 
 // Caller is an authenticated client account.
@@ -78,9 +77,11 @@
 	Orders    Orders
 	Config    func() *config.Snapshot
 	Observe   func(Observation)
-	Calls     *ants.Pool
-	Request   *statechart.Chart
-	Attempt   *statechart.Chart
+	// Records keeps requests of leaving daemons; may be nil.
+	Records Records
+	// Accounts looks up a client account that another daemon authenticated.
+	Accounts func(name string) Caller
+	Calls    *ants.Pool
 
 	RequestTimeout    time.Duration
 	FirstByteTimeout  time.Duration
@@ -95,14 +96,12 @@
 type Proxy struct {
 	options  Options
 	registry *registry
-	keeper   Keeper
 	metrics  *proxyMetrics
+	charts   lifecycles
 
 	mu       sync.Mutex
 	policies map[string]*servicePolicy
 	draining bool
-	gate     Gate
-	onStart  func(*Inflight) error
 }
 
 type servicePolicy struct {
@@ -111,12 +110,16 @@
 	policy *retry.Policy
 }
 
-// New returns a proxy.
-func New(options Options) *Proxy {
+// New returns a proxy. The error is one of the statecharts.
+func New(options Options) (*Proxy, error) {
+	charts, err := loadLifecycles()
+	if err != nil {
+		return nil, err
+	}
 	return &Proxy{
 		options: options, registry: newRegistry(), metrics: newProxyMetrics(),
-		policies: make(map[string]*servicePolicy),
-	}
+		policies: make(map[string]*servicePolicy), charts: charts,
+	}, nil
 }
 
 // policyOf returns the retry policy of a service; its budget is kept while the
--- a/internal/proxy/registry.go
+++ b/internal/proxy/registry.go
@@ -78,8 +78,6 @@
 			r.remove(f)
 			continue
 		}
-		if f.cancel != nil {
-			f.cancel()
-		}
+		f.stop()
 	}
 }
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := s.options.Proxy.Resume(caller, c.Param("id"))
+	f, err := s.options.Proxy.Resume(caller, c.Param("id"), last)
 	if err != nil {
 		return s.withAddresses(err)
 	}
