Limit reports separately and learn from late requests in admission

Change: one limiter per class within an upstream's total; late requests count as service time; the estimate includes one mean deviation. Ruled out: one limiter with half the slack, which closed at half load.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -52,6 +52,7 @@
 	capacity int
 	inUse    int
 	longUsed int
+	longMax  int // 0 means Config.LongShare
 	waiting  int
 	sequence uint64
 	virtual  float64 // virtual time of fair queueing, cost per weight
@@ -87,10 +88,11 @@
 }
 
 // SetCapacity sets the number of slots, normally the sum of the limits of the
-// upstreams in use. Requests above a lowered capacity run to their end.
-func (c *Controller) SetCapacity(slots int) {
+// upstreams in use, and how many of them reports may use; 0 means
+// Config.LongShare. Requests above a lowered capacity run to their end.
+func (c *Controller) SetCapacity(slots, long int) {
 	c.mu.Lock()
-	c.capacity = max(0, slots)
+	c.capacity, c.longMax = max(0, slots), long
 	calls := c.dispatch()
 	c.mu.Unlock()
 	run(calls)
@@ -186,6 +188,11 @@
 // Fail frees the slot of a request that failed before its first byte.
 func (t *Ticket) Fail() { t.finish(false) }
 
+// Late frees the slot of a request that was given up because its first byte
+// did not arrive in time. The time so far counts as service time; without it
+// the estimate would only know the requests that were fast enough.
+func (t *Ticket) Late() { t.finish(true) }
+
 func (t *Ticket) finish(measured bool) {
 	c := t.controller
 	c.mu.Lock()
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -198,6 +198,9 @@
 // longAllowed keeps a part of the slots for shorts. A report may always run if
 // none does.
 func (c *Controller) longAllowed() bool {
+	if c.longMax > 0 {
+		return c.longUsed < c.longMax
+	}
 	return c.longUsed == 0 || float64(c.longUsed) < c.config.LongShare*float64(c.capacity)
 }
 
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -15,12 +15,14 @@
 	maxRetryAfter = 30
 )
 
-// estimator learns the time to the first byte per cost unit. The estimate
+// estimator learns the time to the first byte per cost unit, as the mean plus
+// one mean deviation, because about half of the requests exceed the mean. The estimate
 // halves with every estimateHalfLife without a sample: if it exceeded all
 // deadlines, nothing would be admitted and it could never fall again.
 type estimator struct {
-	perCost float64
-	at      time.Time
+	perCost   float64
+	deviation float64 // smoothed absolute difference from perCost
+	at        time.Time
 }
 
 func (e *estimator) observe(cost float64, elapsed time.Duration, now time.Time) {
@@ -31,12 +33,15 @@
 		e.perCost = sample
 		return
 	}
+	e.deviation += estimateSmoothing * (math.Abs(sample-e.perCost) - e.deviation)
 	e.perCost += estimateSmoothing * (sample - e.perCost)
 }
 
 func (e *estimator) decay(now time.Time) {
 	if idle := now.Sub(e.at) - estimateHalfLife; e.perCost > 0 && idle > 0 {
-		e.perCost *= math.Exp2(-float64(idle) / float64(estimateHalfLife))
+		factor := math.Exp2(-float64(idle) / float64(estimateHalfLife))
+		e.perCost *= factor
+		e.deviation *= factor
 		e.at = now.Add(-estimateHalfLife)
 	}
 }
@@ -46,7 +51,7 @@
 	if e.perCost == 0 {
 		return fallback(r.Cost)
 	}
-	return time.Duration(e.perCost * math.Max(r.Cost, minCost) * float64(time.Second))
+	return time.Duration((e.perCost + e.deviation) * math.Max(r.Cost, minCost) * float64(time.Second))
 }
 
 // drainRate measures the admitted cost per second.
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 )
 
 // LimiterConfig configures a Limiter. Zero values mean the defaults.
@@ -127,3 +129,34 @@
 func (l *Limiter) set(limit float64) {
 	l.limit = math.Min(float64(l.config.Max), math.Max(float64(l.config.Min), limit))
 }
+
+// Limits holds the two limiters of one upstream. Engines serve shorts first,
+// so that a growing queue shows only in the latency of longs; they get a limit
+// of their own within the total.
+type Limits struct{ short, long *Limiter }
+
+// NewLimits returns limiters with the same configuration.
+func NewLimits(config LimiterConfig) *Limits {
+	return &Limits{short: NewLimiter(config), long: NewLimiter(config)}
+}
+
+// Total returns the limit of all concurrent requests.
+func (l *Limits) Total() int { return l.short.Limit() + l.long.Limit() }
+
+// Long returns the limit of concurrent requests of class long.
+func (l *Limits) Long() int { return l.long.Limit() }
+
+// Observe is Limiter.Observe for a class; inFlight counts that class.
+func (l *Limits) Observe(class object.RequestClass, latency time.Duration, cost float64, inFlight int) {
+	l.of(class).Observe(latency, cost, inFlight)
+}
+
+// Drop is Limiter.Drop for a class.
+func (l *Limits) Drop(class object.RequestClass) { l.of(class).Drop() }
+
+func (l *Limits) of(class object.RequestClass) *Limiter {
+	if class == object.ClassLong {
+		return l.long
+	}
+	return l.short
+}
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -46,6 +46,8 @@
 	inFlight atomic.Int64
 	work     atomic.Int64
 	limit    atomic.Int64
+	long     atomic.Int64 // attempts of class long in flight
+	longMax  atomic.Int64
 	leaving  atomic.Bool
 	weight   atomic.Uint64
 	rate     atomic.Uint64
@@ -75,6 +77,14 @@
 // InFlight returns the number of this daemon's unfinished attempts.
 func (c *Candidate) InFlight() int { return int(c.inFlight.Load()) }
 
+// InFlightOf returns the number of unfinished attempts of a class.
+func (c *Candidate) InFlightOf(class object.RequestClass) int {
+	if class == object.ClassLong {
+		return int(c.long.Load())
+	}
+	return c.InFlight() - int(c.long.Load())
+}
+
 // OwnWork returns this daemon's outstanding work in work units.
 func (c *Candidate) OwnWork() float64 { return float64(c.work.Load()) }
 
@@ -84,6 +94,10 @@
 // Limit returns the concurrency limit; 0 means none.
 func (c *Candidate) Limit() int { return int(c.limit.Load()) }
 
+// SetLongLimit bounds the attempts of class long within the limit; 0 means no
+// separate bound.
+func (c *Candidate) SetLongLimit(limit int) { c.longMax.Store(int64(limit)) }
+
 // SetLeaving records whether the upstream has announced that it leaves.
 func (c *Candidate) SetLeaving(leaving bool) { c.leaving.Store(leaving) }
 
@@ -162,16 +176,20 @@
 // Attempt is the accounting of one attempt on a candidate.
 type Attempt struct {
 	candidate *Candidate
+	class     object.RequestClass
 	work      int64
 	started   atomic.Bool
 	ended     atomic.Bool
 }
 
-// Begin counts an attempt with the given work. Call it directly after the
-// pick, so that the next pick sees it.
-func (c *Candidate) Begin(work float64) *Attempt {
-	a := &Attempt{candidate: c, work: int64(math.Max(1, math.Ceil(work)))}
+// Begin counts an attempt with the given class and work. Call it directly
+// after the pick, so that the next pick sees it.
+func (c *Candidate) Begin(class object.RequestClass, work float64) *Attempt {
+	a := &Attempt{candidate: c, class: class, work: int64(math.Max(1, math.Ceil(work)))}
 	c.inFlight.Add(1)
+	if class == object.ClassLong {
+		c.long.Add(1)
+	}
 	c.work.Add(a.work)
 	return a
 }
@@ -189,5 +207,8 @@
 	if a.ended.CompareAndSwap(false, true) {
 		a.FirstByte()
 		a.candidate.inFlight.Add(-1)
+		if a.class == object.ClassLong {
+			a.candidate.long.Add(-1)
+		}
 	}
 }
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -77,7 +77,7 @@
 
 // fullShare is the part of an upstream's slots above which the load bound
 // holds it to be full. The rest absorbs what other daemons send unseen.
-const fullShare = 0.75
+const fullShare = 0.9
 
 // full reports whether the upstream has few free slots. Work alone doesn't
 // show that, because generating requests have no work left.
