Pass the request class to routing's accounting

Cause: routing now counts short and long requests apart. Change: the directory passes the class when an attempt begins.

--- a/internal/upstreams/directory.go
+++ b/internal/upstreams/directory.go
@@ -287,7 +287,7 @@
 		Name: decision.Candidate.Name, Address: decision.Candidate.Address,
 		DataCentre: decision.Candidate.DataCentre, Version: r.Version,
 		Leaving: e.leave, CachedBlocks: decision.CachedBlocks,
-		directory: d, entry: e, counting: e.candidate.Begin(decision.Work),
+		directory: d, entry: e, counting: e.candidate.Begin(r.Class, decision.Work),
 		work: decision.Work, started: d.options.Clock.Now(),
 	}, nil
 }
