Limit short and long requests apart on the request path

Cause: routing and admission now keep one limiter per request class. Change: the directory holds limits per class; a request that brought no byte is no sample of the service time.

--- a/internal/proxy/appflow.go
+++ b/internal/proxy/appflow.go
@@ -114,13 +114,14 @@
 	if err != nil {
 		return AppReply{}, err
 	}
-	defer ticket.Done()
+	slot := &slot{ticket: ticket}
+	defer slot.release()
 	policy := p.policyOf(call.Service, spec)
 	policy.budget.Offer()
 	for number := 1; ; number++ {
 		reply, outcome, err := run.once(ctx)
 		if err == nil {
-			ticket.FirstByte()
+			slot.firstByte()
 			return AppReply{Reply: reply}, nil
 		}
 		wait, policyErr := policy.policy.Next(retry.Attempt{
@@ -221,13 +222,18 @@
 	if err != nil {
 		return app.Reply{}, app.NotSent, err
 	}
-	defer ticket.Done()
+	slot := &slot{ticket: ticket}
+	defer slot.release()
 	if err := markSent(); err != nil {
 		return app.Reply{}, app.NotSent, err
 	}
 	policy := p.policyOf(call.Service, spec)
 	policy.budget.Offer()
-	return run.untilSent(ctx, policy.policy)
+	reply, outcome, err := run.untilSent(ctx, policy.policy)
+	if outcome == app.Answered {
+		slot.firstByte()
+	}
+	return reply, outcome, err
 }
 
 // untilSent repeats attempts that provably did not run.
--- a/internal/proxy/chatflow.go
+++ b/internal/proxy/chatflow.go
@@ -140,18 +140,19 @@
 	r.inflight.setCancel(cancel)
 	if err := p.register(); err != nil {
 		cancel()
-		ticket.Done()
+		ticket.Fail()
 		return err
 	}
 	r.inflight.fire(eventAdmit)
 	err = p.options.Calls.Submit(func() {
 		defer cancel()
-		defer ticket.Done()
-		r.run(runCtx, ticket.FirstByte)
+		slot := &slot{ticket: ticket}
+		defer slot.release()
+		r.run(runCtx, slot.firstByte)
 	})
 	if err != nil {
 		cancel()
-		ticket.Done()
+		ticket.Fail()
 		return result.Wrap(err, result.Overloaded, result.NotRun, "too many upstream calls are running").WithRetryAfter(1)
 	}
 	return nil
--- a/internal/upstreams/attempt.go
+++ b/internal/upstreams/attempt.go
@@ -39,7 +39,7 @@
 	}
 	a.first = max(1, a.directory.options.Clock.Now().Sub(a.started))
 	a.counting.FirstByte()
-	a.entry.limiter.Observe(a.first, a.work, a.entry.candidate.InFlight())
+	a.entry.limits.Observe(a.class, a.first, a.work, a.entry.candidate.InFlightOf(a.class))
 	a.entry.candidate.ObserveRate(a.work, a.first)
 }
 
@@ -54,7 +54,7 @@
 	a.counting.End()
 	switch failure {
 	case FailureOverload:
-		a.entry.limiter.Drop()
+		a.entry.limits.Drop(a.class)
 	case FailureError:
 		a.directory.tracker.Observe(a.Name, health.Outcome{Failed: true})
 	default:
@@ -72,7 +72,7 @@
 		return
 	}
 	e.candidate.SetHealthWeight(status.Weight)
-	e.candidate.SetLimit(e.limiter.Limit())
+	e.applyLimits()
 }
 
 // Status lists the upstreams for the operators' API.
@@ -85,7 +85,7 @@
 		list = append(list, operatorapi.UpstreamStatus{
 			Name: name, Address: e.spec.Address, DataCentre: e.spec.DataCentre,
 			State: stateOf(status), InFlight: e.candidate.InFlight(),
-			Limit: e.limiter.Limit(), Health: status.Weight,
+			Limit: e.limits.Total(), Health: status.Weight,
 		})
 	}
 	return list
--- a/internal/upstreams/directory.go
+++ b/internal/upstreams/directory.go
@@ -51,7 +51,7 @@
 
 type entry struct {
 	candidate *routing.Candidate
-	limiter   *admission.Limiter
+	limits    *admission.Limits
 	spec      *object.Upstream
 	service   string
 	protocol  object.Protocol
@@ -166,8 +166,8 @@
 			DataCentre: spec.DataCentre, MachineClass: spec.MachineClass,
 			PricePerHour: spec.PricePerHour, Labels: o.Metadata.Labels,
 		}),
-		limiter: admission.NewLimiter(admission.LimiterConfig{Max: spec.MaxConcurrency}),
-		spec:    spec, service: service, version: version, revision: o.Metadata.Revision,
+		limits: admission.NewLimits(admission.LimiterConfig{Max: spec.MaxConcurrency}),
+		spec:   spec, service: service, version: version, revision: o.Metadata.Revision,
 		leave: make(chan struct{}),
 	}
 }
@@ -190,7 +190,7 @@
 			continue
 		}
 		e.candidate.SetHealthWeight(status.Weight)
-		e.candidate.SetLimit(e.limiter.Limit())
+		e.applyLimits()
 		e.setLeaving(status.Leaving != "")
 	}
 }
@@ -233,17 +233,23 @@
 	return n, ok
 }
 
-// Capacity returns the sum of the limits of the usable upstreams.
-func (d *Directory) Capacity() int {
+func (e *entry) applyLimits() {
+	e.candidate.SetLimit(e.limits.Total())
+	e.candidate.SetLongLimit(e.limits.Long())
+}
+
+// Capacity returns the sum of the limits of the usable upstreams, for all
+// requests and for long ones.
+func (d *Directory) Capacity() (total, long int) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	total := 0
 	for _, e := range d.entries {
 		if !e.left && e.candidate.HealthWeight() > 0 {
-			total += e.limiter.Limit()
+			total += e.limits.Total()
+			long += e.limits.Long()
 		}
 	}
-	return total
+	return total, long
 }
 
 // Attempt is the use of one upstream.
@@ -260,6 +266,7 @@
 	directory *Directory
 	entry     *entry
 	counting  *routing.Attempt
+	class     object.RequestClass
 	work      float64
 	started   time.Time
 	first     time.Duration
@@ -288,6 +295,6 @@
 		DataCentre: decision.Candidate.DataCentre, Version: r.Version,
 		Leaving: e.leave, CachedBlocks: decision.CachedBlocks,
 		directory: d, entry: e, counting: e.candidate.Begin(r.Class, decision.Work),
-		work: decision.Work, started: d.options.Clock.Now(),
+		class: r.Class, work: decision.Work, started: d.options.Clock.Now(),
 	}, nil
 }
