Dial the stopped executor anew in the forwarding test

Change: the test closes its connection first, so that the call has to dial. Conclusion: the check itself is unchanged.

--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -250,6 +250,10 @@
 	_, err = c.nodes["a"].Execute(ctx, frozen)
 	c.check(frozen, err, result.NotRun, 0)
 	c.nodes["b"].server.Stop()
+	// A call on the old connection may fail while it is sent, which is a
+	// lost reply and not an unreachable executor.
+	b, _ := c.dir.Daemon("b")
+	c.pool.Forget(b.Address)
 	unreached := c.order("b")
 	_, err = c.nodes["a"].Execute(ctx, unreached)
 	c.check(unreached, err, result.Unknown, 0)
