Add the load and experiment tool

Cause: there was no tool that sends the users' mix of requests and checks the answers from the callers' side.

Ruled out: closed-loop workers, which slow down together with the daemons and hide the waiting time; latency counts from the planned arrival instead.

Change: test/load reads a YAML scenario, makes Poisson arrivals that depend on the seed only, asks for addresses and order tokens like a caller, resumes streams and settles orders under one key. It compares completions with the output of the engine stand-in, and orders with the counts of the application stand-ins. Scenarios can send requests to stand-ins and daemons at stated times to inject faults. It exits with 1 on a violation.

The race detector showed that ForEach leaves a goroutine behind which may close the connection of a later request when the context ends right after the return. internal/apiclient reads the events itself and waits for its own watch.

Conclusion: checked against a fake daemon; no measurement of rudderd yet.

--- a/internal/apiclient/stream.go
+++ b/internal/apiclient/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -66,7 +67,19 @@
 		end.Resumptions++
 		err = c.resume(ctx, addresses, resume, &end, f, err)
 	}
-	return end, err
+	return end, coded(ctx, err)
+}
+
+// coded gives an error of the connection a result code.
+func coded(ctx context.Context, err error) error {
+	var handler *handlerError
+	switch {
+	case err == nil || isAnswer(err) || errors.As(err, &handler):
+		return err
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Wrap(err, result.DeadlineExceeded, result.Unknown, "the stream did not end in time")
+	}
+	return result.Wrap(err, result.PeerUnreachable, result.Unknown, "the stream broke and was not resumed")
 }
 
 // resume tries every address once. It returns the last error, or previous if
@@ -89,16 +102,20 @@
 // again as long as no event of it was received.
 func (c *Client) firstStream(ctx context.Context, addresses []string, r Request, end *StreamEnd, f func(Event) error) error {
 	err := error(result.New(result.BadRequest, result.NotRun, "no daemon address"))
+	execution := result.NotRun
 	for _, address := range addresses {
 		err = c.stream(ctx, address, r, end, f)
 		if err == nil || end.RequestID != "" || isAnswer(err) && result.CodeOf(err) != result.Draining {
 			return err
 		}
+		if !isAnswer(err) && !errors.Is(err, ErrNotConnected) {
+			execution = result.Unknown
+		}
 	}
-	if isAnswer(err) {
+	if isAnswer(err) || ctx.Err() != nil {
 		return err
 	}
-	return result.Wrap(err, result.PeerUnreachable, result.Unknown, "no daemon answered")
+	return result.Wrap(err, result.PeerUnreachable, execution, "no daemon answered")
 }
 
 // resumable reports whether a stream that ended with err may continue. A
@@ -157,7 +174,8 @@
 		return errors.Wrap(err, "read stream")
 	}
 	reader.SetMaxBufferSize(maxEventBytes)
-	if err := reader.ForEach(ctx, func(e *sse.Event) error { return end.receive(e, f) }); err != nil {
+	defer closeOnEnd(ctx, resp)()
+	if err := readEvents(reader, func(e *sse.Event) error { return end.receive(e, f) }); err != nil {
 		return err
 	}
 	if !end.Whole {
@@ -166,6 +184,42 @@
 	return nil
 }
 
+// closeOnEnd closes the connection of resp when ctx ends, so that reads return.
+// The returned function ends the watch and waits for it. Reader.ForEach does
+// not wait: if ctx ends right after it returns, it may close the connection of
+// a later request, because hertz reuses the body streams of responses.
+func closeOnEnd(ctx context.Context, resp *protocol.Response) func() {
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		if body, ok := resp.BodyStream().(interface{ ForceClose() error }); ok {
+			_ = body.ForceClose()
+		}
+	})
+	return func() {
+		if !stop() {
+			<-closed
+		}
+	}
+}
+
+func readEvents(reader *sse.Reader, f func(*sse.Event) error) error {
+	e := sse.NewEvent()
+	defer e.Release()
+	for {
+		err := reader.Read(e)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read stream")
+		}
+		if err := f(e); err != nil {
+			return err
+		}
+	}
+}
+
 // movedError is the error for a stream that continues at other addresses.
 func movedError(data []byte) error {
 	var moved struct {
--- /dev/null
+++ b/test/load/runner.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/apiclient"
+)
+
+// runner sends the requests of a scenario.
+type runner struct {
+	scenario *Scenario
+	callers  [][]*caller // by account
+	tallies  []*tally    // by class
+	orders   orderLog
+	before   counts
+	after    counts
+	inFlight chan struct{}
+	requests sync.WaitGroup
+	eventErr error
+}
+
+// draw holds the random choices of one request. They depend on the seed and
+// the class only, not on the timing of the run.
+type draw struct {
+	account, client int
+	session         int
+	number          uint64
+}
+
+func newRunner(s *Scenario) (*runner, error) {
+	r := &runner{scenario: s, inFlight: make(chan struct{}, s.MaxInFlight)}
+	index := 0
+	for _, a := range s.Accounts {
+		api, err := apiclient.New(a.Key, true)
+		if err != nil {
+			return nil, err
+		}
+		var callers []*caller
+		for range a.Clients {
+			callers = append(callers, newCaller(api, s.Addresses, index))
+			index++
+		}
+		r.callers = append(r.callers, callers)
+	}
+	for range s.Classes {
+		r.tallies = append(r.tallies, newTally())
+	}
+	return r, nil
+}
+
+// run sends all requests and returns when every one has ended.
+func (r *runner) run(ctx context.Context) (err error) {
+	if r.before, err = r.readCounts(ctx); err != nil {
+		return errors.WithMessage(err, "before the run")
+	}
+	start := time.Now()
+	var generators sync.WaitGroup
+	for i := range r.scenario.Classes {
+		generators.Go(func() { r.generate(ctx, i, start) })
+	}
+	generators.Go(func() { r.eventErr = r.events(ctx, start) })
+	generators.Wait()
+	r.requests.Wait()
+	if r.eventErr != nil {
+		return r.eventErr
+	}
+	// An interrupted run still reports what it has measured.
+	r.after, err = r.readCounts(context.WithoutCancel(ctx))
+	return errors.WithMessage(err, "after the run")
+}
+
+// generate makes the arrivals of a class: a Poisson process that does not wait
+// for answers.
+func (r *runner) generate(ctx context.Context, class int, start time.Time) {
+	c := &r.scenario.Classes[class]
+	rng := rand.New(rand.NewPCG(r.scenario.Seed, uint64(class)))
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / c.Rate
+		offset := time.Duration(at * float64(time.Second))
+		if offset >= r.scenario.Duration {
+			return
+		}
+		d := r.draw(rng, c)
+		if !sleepUntil(ctx, start.Add(offset)) {
+			return
+		}
+		select {
+		case r.inFlight <- struct{}{}:
+			r.requests.Add(1)
+			go r.request(ctx, class, start.Add(offset), d)
+		default:
+			r.tallies[class].skip()
+		}
+	}
+}
+
+func (r *runner) draw(rng *rand.Rand, c *Class) draw {
+	d := draw{account: r.drawAccount(rng), number: rng.Uint64()}
+	d.client = rng.IntN(len(r.callers[d.account]))
+	if c.Sessions > 0 {
+		d.session = rng.IntN(c.Sessions)
+	}
+	return d
+}
+
+func (r *runner) drawAccount(rng *rand.Rand) int {
+	sum := 0.0
+	for _, a := range r.scenario.Accounts {
+		sum += a.Weight
+	}
+	rest := rng.Float64() * sum
+	for i, a := range r.scenario.Accounts {
+		if rest -= a.Weight; rest < 0 {
+			return i
+		}
+	}
+	return len(r.scenario.Accounts) - 1
+}
+
+// request sends one request. Latency counts from the planned arrival, so that
+// a late start of the request is part of it.
+func (r *runner) request(ctx context.Context, class int, arrival time.Time, d draw) {
+	defer r.requests.Done()
+	defer func() { <-r.inFlight }()
+	ctx, cancel := context.WithDeadline(ctx, arrival.Add(r.scenario.Timeout))
+	defer cancel()
+	c := &r.scenario.Classes[class]
+	w := &work{runner: r, class: c, caller: r.callers[d.account][d.client], draw: d, arrival: arrival}
+	outcome := w.send(ctx)
+	outcome.total = time.Since(arrival)
+	r.tallies[class].add(&outcome)
+}
+
+// events sends the requests of the scenario's events in the order of time.
+func (r *runner) events(ctx context.Context, start time.Time) error {
+	var all errorList
+	var pending sync.WaitGroup
+	for _, e := range r.scenario.Events {
+		pending.Go(func() {
+			if !sleepUntil(ctx, start.Add(e.At)) {
+				return
+			}
+			all.add(errors.WithMessagef(r.event(ctx, e), "event %s %s%s", e.Method, e.Address, e.Path))
+		})
+	}
+	pending.Wait()
+	return all.first()
+}
+
+func (r *runner) event(ctx context.Context, e Event) error {
+	api, err := apiclient.New(e.Key, false)
+	if err != nil {
+		return err
+	}
+	resp, err := api.Do(ctx, e.Address, apiclient.Request{
+		Method: e.Method, Path: e.Path, Body: []byte(e.Body), ContentType: jsonType, Timeout: r.scenario.Timeout,
+	})
+	if err != nil {
+		return err
+	}
+	if resp.Status >= 300 {
+		return errors.Errorf("status %d: %s", resp.Status, resp.Body)
+	}
+	return nil
+}
+
+// errorList collects errors of concurrent calls.
+type errorList struct {
+	mu   sync.Mutex
+	errs []error
+}
+
+func (l *errorList) add(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.errs = append(l.errs, err)
+	}
+}
+
+func (l *errorList) first() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.errs) == 0 {
+		return nil
+	}
+	return l.errs[0]
+}
+
+// sleepUntil returns false if ctx ended before t.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
