Add the ramp, the judge and the manager of moves

Cause: moves could be configured, but no traffic moved, no evidence was counted and no verdict was made.

Change: pkg/move has the ramp as a pure function of start, deadline, steps, time and verdict, sequential tests of failures and slow replies, and the condition of a move. internal/moves changes the shares of routes, counts and reports evidence, pools it on three evaluators, spreads verdicts and records outcomes. The daemon runs it as a duty. Gossip keeps "proved" verdicts with different times apart, because the ramp depends on the earliest one.

Ruled out: a share that daemons agree on, and fixed failure thresholds.

Tests: the existing tests of gossip, config and object pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/gossip"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/moves"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/server"
@@ -63,6 +64,7 @@
 	signer    *order.Signer
 	ledger    *order.Ledger
 	proxy     *proxy.Proxy
+	moves     *moves.Manager
 	server    *server.Server
 	calls     *ants.Pool
 	runner    *duty.Runner
@@ -81,7 +83,7 @@
 		settings: s, clock: clockwork.NewRealClock(), log: log.With("daemon", s.Daemon.Name),
 		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}),
 	}
-	steps := []func() error{d.buildStore, d.buildPeers, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
+	steps := []func() error{d.buildStore, d.buildPeers, d.buildMoves, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -128,6 +130,7 @@
 		Broadcaster: broadcaster{d.gossip, d.log},
 		Watches:     func() bool { return d.gossip.Overlay().WatchesStore(d.id) },
 		FetchPeer:   d.peerAhead,
+		Verdicts:    d.verdicts, OnVerdicts: d.onVerdicts,
 	})
 	d.operator = config.NewOperator(d.config)
 	return nil
@@ -208,9 +211,9 @@
 	d.calls = calls
 	d.proxy = proxy.New(proxy.Options{
 		Clock: d.clock, Log: d.log, Directory: d.directory, Admission: d.admission,
-		Versions: &proxy.RouteVersions{Config: d.config.Current},
+		Versions: &proxy.RouteVersions{Config: d.config.Current, Moves: d.moves},
 		Engine:   d.engine, App: d.app, Orders: &orderAdapter{d}, Config: d.config.Current,
-		Observe: func(proxy.Observation) {}, Calls: d.calls,
+		Observe: d.moves.Observe, Calls: d.calls,
 		RequestTimeout: d.settings.Limits.RequestTimeout, FirstByteTimeout: d.settings.Upstreams.FirstByteTimeout,
 		TokenTimeout: d.settings.Upstreams.TokenTimeout, MigrationDeadline: d.settings.Upstreams.MigrationDeadline,
 		ResumeWindow: d.settings.Limits.ResumeWindow, MaxStreamBytes: d.settings.Limits.MaxStreamBytes,
@@ -229,7 +232,7 @@
 	d.grpc = grpc.NewServer(peer.ServerOptions()...)
 	peerv1.RegisterPeerServer(d.grpc, &peer.Service{
 		GossipHandler: d.gossip, ConfigHandler: d.config,
-		OrderHandler: notServed{}, StreamHandler: notServed{}, EvidenceHandler: notServed{},
+		OrderHandler: notServed{}, StreamHandler: notServed{}, EvidenceHandler: d.moves,
 	})
 	return nil
 }
@@ -240,6 +243,7 @@
 // connect joins the parts that call each other.
 func (d *Daemon) connect() {
 	d.config.Subscribe(d.onSnapshot)
+	d.config.Subscribe(d.moves.OnSnapshot)
 	d.gossip.OnItem(d.onItem)
 	d.gossip.OnLag(func(_ string, revision int64) { d.config.NoteRevision(revision) })
 	d.gossip.OnMembers(func(members []membership.Member) { d.budget.SetDaemons(alive(members)) })
@@ -277,6 +281,8 @@
 		d.config.HandleItem(item)
 	case *peerv1.Item_UpstreamNotice:
 		d.onUpstreamNotice(kind.UpstreamNotice)
+	case *peerv1.Item_Verdict:
+		d.moves.HandleItem(item)
 	}
 }
 
@@ -328,6 +334,7 @@
 		{Name: "config-settle", Run: d.config.RunSettler},
 		{Name: "health", Run: monitor.RunChecks},
 		{Name: "capacity", Run: d.runCapacity},
+		{Name: "moves", Run: d.moves.Run},
 		{Name: "request-sweep", Run: d.proxy.RunSweep},
 		{Name: "peer-connections", Run: d.runPeerConnections},
 	}
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/operatorapi"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/health"
@@ -88,14 +87,6 @@
 	}
 }
 
-// MoveProgress implements server.Daemon.
-func (d *Daemon) MoveProgress(s config.MoveStatus) operatorapi.MoveStatus {
-	return operatorapi.MoveStatus{
-		Name: s.Name, Service: s.Spec.Service, From: s.Spec.From, To: s.Spec.To, State: s.State,
-		Deadline: s.Spec.Deadline, Generation: s.Generation, Evidence: s.Evidence, MeasuredPercent: -1,
-	}
-}
-
 // DrainUpstream implements server.Daemon.
 func (d *Daemon) DrainUpstream(name string, notice time.Duration) error {
 	spec, _, ok := object.Lookup[*object.Upstream](d.config.Current().Set, object.KindUpstream, name)
--- a/internal/gossip/items.go
+++ b/internal/gossip/items.go
@@ -36,6 +36,11 @@
 		return fmt.Sprintf("change %d %s", kind.Change.GetRevision(), kind.Change.GetChangeId())
 	case *peerv1.Item_Verdict:
 		v := kind.Verdict
+		if v.GetOutcome() == "proved" {
+			// The ramp depends on the time of the proof. All daemons must get
+			// the earliest one if several evaluators decide.
+			return fmt.Sprintf("verdict %s %d %s %d", v.GetMove(), v.GetGeneration(), v.GetOutcome(), v.GetDecidedUnixMs())
+		}
 		return fmt.Sprintf("verdict %s %d %s", v.GetMove(), v.GetGeneration(), v.GetOutcome())
 	case *peerv1.Item_UpstreamNotice:
 		n := kind.UpstreamNotice
--- /dev/null
+++ b/pkg/move/cusum.go
@@ -0,0 +1,87 @@
+package move
+
+import "math"
+
+// restartSlack keeps the statistic from restarting on each small dip, because
+// every restart raises the evidence that an alarm needs.
+const restartSlack = 2.0
+
+// cusum is a sequential probability ratio test that may start anew at any
+// time, so that a version that was good for long can still be found bad soon.
+//
+// It follows the maximum over all starting points k of ln(w_k) plus the
+// log-likelihood ratio since k, with weights w_k = 1/(k(k+1)) that add up to 1.
+// exp of it is at most a weighted mean of likelihood ratios, which is a
+// supermartingale under the hypothesis that the version is good. By Ville's
+// inequality the probability that the statistic ever reaches ln(1/alpha) is at
+// most alpha, however long the move lasts.
+type cusum struct {
+	value    float64
+	restarts int
+	// Contributions of failed requests of the new version since the restart.
+	upstreams   map[string]float64
+	dataCentres map[string]float64
+	// Requests and failures of both versions since the restart.
+	newRequests, newFailures, oldRequests, oldFailures float64
+}
+
+func newCusum() *cusum {
+	c := &cusum{}
+	c.restart()
+	return c
+}
+
+func (c *cusum) restart() {
+	c.restarts++
+	c.value = c.floor()
+	c.upstreams, c.dataCentres = make(map[string]float64), make(map[string]float64)
+	c.newRequests, c.newFailures, c.oldRequests, c.oldFailures = 0, 0, 0, 0
+}
+
+// floor is the logarithm of the weight of the current starting point.
+func (c *cusum) floor() float64 {
+	k := float64(c.restarts)
+	return -math.Log(k * (k + 1))
+}
+
+// add adds the log-likelihood ratio of a batch.
+func (c *cusum) add(ratio float64) {
+	c.value += ratio
+	if c.value < c.floor()-restartSlack {
+		c.restart()
+	}
+}
+
+// gain is the evidence since the restart.
+func (c *cusum) gain() float64 { return c.value - c.floor() }
+
+// remove takes back the contribution of one upstream or data centre.
+func (c *cusum) remove(groups map[string]float64, key string) {
+	contribution := groups[key]
+	delete(groups, key)
+	c.add(-contribution)
+}
+
+// excess is the difference of the failure rates of both versions since the
+// restart.
+func (c *cusum) excess() float64 {
+	return rate(c.newFailures, c.newRequests) - rate(c.oldFailures, c.oldRequests)
+}
+
+func rate(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
+// largest returns the key with the largest value.
+func largest(groups map[string]float64) (string, float64) {
+	best, value := "", 0.0
+	for key, v := range groups {
+		if v > value || v == value && key < best {
+			best, value = key, v
+		}
+	}
+	return best, value
+}
--- /dev/null
+++ b/pkg/move/route.go
@@ -0,0 +1,292 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of the tests of one route.
+const (
+	// recentRequests is the number of requests in which the share and the
+	// failure rate of the old version in a data centre are measured.
+	recentRequests = 200.0
+	// minExcess is the least excess rate for which a version is taken back; a
+	// certain but smaller difference is left to the operator.
+	minExcess = 0.02
+	// sharedPart is the part of the evidence that must remain when the
+	// strongest upstream (or data centre) is left out.
+	sharedPart = 0.35
+	// suspension is how long a data centre whose requests fail alone is left
+	// out of the tests.
+	suspension = 2 * time.Minute
+	// baselineShare is the share of the new version above which it is also
+	// compared with the earlier rate of the old version, because too few
+	// requests of the old version are left to compare with.
+	baselineShare  = 0.5
+	baselineExcess = 0.3
+)
+
+// relativeRisks are the alternatives of the concurrent test: how many times
+// more likely a request of the new version fails.
+var relativeRisks = [...]float64{3, 10, 40}
+
+const (
+	baselineTest   = len(relativeRisks)
+	testsPerSignal = len(relativeRisks) + 1
+)
+
+type routeJudge struct {
+	name     string
+	limit    float64
+	requests float64
+	signals  map[Signal]*signalJudge
+	known    int // upstreams of the new version, 0 if unknown
+	// upstreams and dataCentres that served the new version.
+	upstreams   map[string]bool
+	dataCentres map[string]bool
+	faulty      map[string]bool
+	suspended   map[string]time.Time // by data centre, end
+}
+
+// signalJudge holds the tests of one signal on one route.
+type signalJudge struct {
+	tests  [testsPerSignal]*cusum
+	recent map[string]*recency // by data centre
+	proof  *proof
+	old    counts
+}
+
+type counts struct{ requests, bad float64 }
+
+// recency holds the last requests in a data centre.
+type recency struct{ fresh, old counts }
+
+func (r *recency) add(fresh, old counts) {
+	r.fresh.requests += fresh.requests
+	r.fresh.bad += fresh.bad
+	r.old.requests += old.requests
+	r.old.bad += old.bad
+	if total := r.fresh.requests + r.old.requests; total > recentRequests {
+		scale := recentRequests / total
+		for _, c := range []*counts{&r.fresh, &r.old} {
+			c.requests *= scale
+			c.bad *= scale
+		}
+	}
+}
+
+func (r *recency) share() float64 {
+	return rate(r.fresh.requests, r.fresh.requests+r.old.requests)
+}
+
+func newRouteJudge(name string, limit float64) *routeJudge {
+	r := &routeJudge{
+		name: name, limit: limit, signals: make(map[Signal]*signalJudge),
+		upstreams: make(map[string]bool), dataCentres: make(map[string]bool),
+		faulty: make(map[string]bool), suspended: make(map[string]time.Time),
+	}
+	for _, signal := range []Signal{Failures, Slow} {
+		s := &signalJudge{recent: make(map[string]*recency), proof: newProof()}
+		for i := range s.tests {
+			s.tests[i] = newCusum()
+		}
+		r.signals[signal] = s
+	}
+	return r
+}
+
+// add runs the tests over one interval and returns the evidence for taking
+// the version back, or "".
+func (r *routeJudge) add(now time.Time, samples []Sample) string {
+	byDataCentre := make(map[string][]Sample)
+	for _, s := range samples {
+		r.requests += s.Requests
+		if s.New {
+			r.upstreams[s.Upstream] = true
+			r.dataCentres[s.DataCentre] = true
+		}
+		byDataCentre[s.DataCentre] = append(byDataCentre[s.DataCentre], s)
+	}
+	for _, dataCentre := range sortedKeys(byDataCentre) {
+		for _, signal := range []Signal{Failures, Slow} {
+			r.signals[signal].addBatch(r, now, signal, dataCentre, byDataCentre[dataCentre])
+		}
+	}
+	for _, signal := range []Signal{Failures, Slow} {
+		if evidence := r.decide(now, signal); evidence != "" {
+			return evidence
+		}
+	}
+	return ""
+}
+
+// addBatch adds the samples of one data centre.
+func (s *signalJudge) addBatch(r *routeJudge, now time.Time, signal Signal, dataCentre string, samples []Sample) {
+	var fresh, old counts
+	byUpstream := make(map[string]counts)
+	for _, one := range samples {
+		bad := min(one.count(signal), one.Requests)
+		switch {
+		case !one.New:
+			old.requests += one.Requests
+			old.bad += bad
+		case !r.faulty[one.Upstream]:
+			c := byUpstream[one.Upstream]
+			byUpstream[one.Upstream] = counts{c.requests + one.Requests, c.bad + bad}
+			fresh.requests += one.Requests
+			fresh.bad += bad
+		}
+	}
+	recent := s.recent[dataCentre]
+	if recent == nil {
+		recent = &recency{}
+		s.recent[dataCentre] = recent
+	}
+	recent.add(fresh, old)
+	s.old.requests += old.requests
+	s.old.bad += old.bad
+	concurrent := rate(recent.old.bad, recent.old.requests)
+	for upstream, c := range byUpstream {
+		s.proof.add(upstream, c.requests, c.bad, concurrent)
+	}
+	if now.Before(r.suspended[dataCentre]) {
+		return
+	}
+	s.compare(dataCentre, fresh, old, byUpstream, recent.share())
+	if recent.share() > baselineShare {
+		s.compareBaseline(dataCentre, fresh, byUpstream, recent)
+	}
+}
+
+// compare is the concurrent test: if both versions are equally likely to fail,
+// a failed request is one of the new version with a probability equal to its
+// share of the requests around it, whatever the failure rate is. An outage
+// that hits both versions therefore gives no evidence.
+func (s *signalJudge) compare(dataCentre string, fresh, old counts, byUpstream map[string]counts, share float64) {
+	for i, risk := range relativeRisks {
+		test := s.tests[i]
+		each := math.Log(1 - share + share*risk)
+		s.record(test, dataCentre, byUpstream, fresh, old, math.Log(risk)-each)
+		test.add(fresh.bad*math.Log(risk) - (fresh.bad+old.bad)*each)
+	}
+}
+
+// compareBaseline compares the new version with the rate of the old one during
+// the whole move, or in the data centre now if that is higher.
+func (s *signalJudge) compareBaseline(dataCentre string, fresh counts, byUpstream map[string]counts, recent *recency) {
+	const prior = 20 // requests at the lowest rate, for an old version without traffic
+	p0 := 1.5 * (s.old.bad + prior*minBaseline) / (s.old.requests + prior)
+	p0 = max(p0, rate(recent.old.bad, recent.old.requests))
+	p0 = min(max(p0, minBaseline), maxBaseline)
+	p1 := withExcess(p0, baselineExcess)
+	test := s.tests[baselineTest]
+	s.record(test, dataCentre, byUpstream, fresh, counts{}, math.Log(p1/p0))
+	test.add(bernoulli(fresh.requests, fresh.bad, p0, p1))
+}
+
+// record notes who contributed evidence, each failed request with weight.
+func (s *signalJudge) record(test *cusum, dataCentre string, byUpstream map[string]counts, fresh, old counts, weight float64) {
+	for upstream, c := range byUpstream {
+		test.upstreams[upstream] += c.bad * weight
+	}
+	test.dataCentres[dataCentre] += fresh.bad * weight
+	test.newRequests += fresh.requests
+	test.newFailures += fresh.bad
+	test.oldRequests += old.requests
+	test.oldFailures += old.bad
+}
+
+// decide returns the evidence if a test of a signal has reached its limit and
+// the fault isn't confined to one instance or to one data centre.
+func (r *routeJudge) decide(now time.Time, signal Signal) string {
+	s := r.signals[signal]
+	for i, test := range s.tests {
+		if test.value < r.limit || test.excess() < minExcess {
+			continue
+		}
+		if r.instanceFault(test) || r.dataCentreFault(now, s, test) {
+			continue
+		}
+		name := "old version before"
+		if i < baselineTest {
+			name = "old version at the same time"
+		}
+		return fmt.Sprintf("route %s: %s %.0f of %.0f, old version %.0f of %.0f, compared with the %s, log likelihood ratio %.1f (limit %.1f)",
+			r.name, signal, test.newFailures, test.newRequests, test.oldFailures, test.oldRequests, name, test.value, r.limit)
+	}
+	return ""
+}
+
+// concentrated reports whether too little evidence remains without the
+// strongest contributor.
+func concentrated(test *cusum, contribution float64) bool {
+	return test.gain()-contribution < sharedPart*test.gain()
+}
+
+// instanceFault sets aside the upstream that fails alone. When half of the
+// upstreams, and at least two, would be set aside, the version is bad.
+func (r *routeJudge) instanceFault(test *cusum) bool {
+	upstream, contribution := largest(test.upstreams)
+	upstreams := r.known
+	if upstreams == 0 {
+		upstreams = len(r.upstreams)
+	}
+	if upstreams < 2 || upstream == "" || !concentrated(test, contribution) {
+		return false
+	}
+	if faulty := len(r.faulty) + 1; faulty >= 2 && 2*faulty >= upstreams {
+		return false
+	}
+	r.faulty[upstream] = true
+	for _, signal := range r.signals {
+		for _, other := range signal.tests {
+			other.remove(other.upstreams, upstream)
+		}
+	}
+	return true
+}
+
+// dataCentreFault leaves a data centre out for some time if the new version
+// fails only there and the old version isn't seen to work there.
+func (r *routeJudge) dataCentreFault(now time.Time, s *signalJudge, test *cusum) bool {
+	dataCentre, contribution := largest(test.dataCentres)
+	if len(r.dataCentres) < 2 || !concentrated(test, contribution) || s.oldWorks(dataCentre) {
+		return false
+	}
+	suspended := 1
+	for _, end := range r.suspended {
+		if now.Before(end) {
+			suspended++
+		}
+	}
+	if suspended >= 2 && 2*suspended >= len(r.dataCentres) {
+		return false
+	}
+	r.suspended[dataCentre] = now.Add(suspension)
+	for _, signal := range r.signals {
+		for _, other := range signal.tests {
+			other.remove(other.dataCentres, dataCentre)
+		}
+	}
+	return true
+}
+
+// oldWorks reports whether the old version served recent requests of a data
+// centre well.
+func (s *signalJudge) oldWorks(dataCentre string) bool {
+	const enough = 20
+	recent := s.recent[dataCentre]
+	return recent != nil && recent.old.requests >= enough &&
+		rate(recent.old.bad, recent.old.requests) < rate(recent.fresh.bad, recent.fresh.requests)/3
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
