--- /dev/null
+++ b/test/harness/objects.go
@@ -0,0 +1,205 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/apiclient"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/operatorapi"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/server"
+)
+
+const (
+	callerKey   = "test-caller-key"
+	operatorKey = "test-operator-key"
+	modelName   = "appraiser"
+	// OperatorTimeout bounds a call of an operator.
+	OperatorTimeout = 12 * time.Second
+)
+
+func operatorHash() string { return server.HashKey(operatorKey) }
+
+const baseObjects = `
+kind: Service
+metadata: {name: appraisal}
+spec: {protocol: openai, timeout: 30s, retryPercent: 20, shortPromptBytes: 2000}
+---
+kind: Service
+metadata: {name: shop}
+spec:
+  protocol: http
+  timeout: 5s
+  retryPercent: 20
+  operations:
+    - {name: reserve, method: POST, path: /reservations, idempotent: false}
+    - {name: payout, method: POST, path: /payouts, idempotent: false}
+    - {name: stock, method: GET, path: "/stock/*", idempotent: true}
+---
+kind: Version
+metadata: {name: v1}
+spec: {service: appraisal, model: appraiser, selector: appraisal-v1}
+---
+kind: Version
+metadata: {name: shop-v1}
+spec: {service: shop, selector: shop-v1}
+---
+kind: UpstreamSelector
+metadata: {name: appraisal-v1}
+spec: {selector: {matchLabels: {service: appraisal, version: v1}}}
+---
+kind: UpstreamSelector
+metadata: {name: shop-v1}
+spec: {selector: {matchLabels: {service: shop, version: shop-v1}}}
+---
+kind: Route
+metadata: {name: appraisal}
+spec: {service: appraisal, shares: [{version: v1, percent: 100}]}
+---
+kind: Route
+metadata: {name: shop}
+spec: {service: shop, shares: [{version: shop-v1, percent: 100}]}
+`
+
+// objects returns the configuration of the cluster as YAML.
+func (c *Cluster) objects() string {
+	var b strings.Builder
+	b.WriteString(baseObjects)
+	upstream := func(name, service, version, address, dataCentre string) {
+		fmt.Fprintf(&b, "---\nkind: Upstream\nmetadata: {name: %s, labels: {service: %s, version: %s}}\n"+
+			"spec: {address: %q, dataCentre: %s, instance: %s, reclaimable: true}\n",
+			name, service, version, address, dataCentre, name)
+	}
+	for _, e := range c.Engines {
+		upstream(e.Name, "appraisal", "v1", e.Address(), e.DataCentre)
+	}
+	for _, a := range c.Apps {
+		upstream(a.Name, "shop", "shop-v1", a.Address(), a.DataCentre)
+	}
+	for name, role := range map[string]string{"counter": "caller", "ops": "operator"} {
+		hash := operatorHash()
+		if role == "caller" {
+			hash = server.HashKey(callerKey)
+		}
+		fmt.Fprintf(&b, "---\nkind: ClientAccount\nmetadata: {name: %s}\nspec: {role: %s, keyHashes: [%q], weight: 10}\n",
+			name, role, hash)
+	}
+	return b.String()
+}
+
+// AccountObject returns a client account whose weight tells changes apart.
+func AccountObject(name string, weight int) string {
+	return fmt.Sprintf("kind: ClientAccount\nmetadata: {name: %s}\nspec: {role: caller, keyHashes: [%q], weight: %d}\n",
+		name, server.HashKey("key of "+name), weight)
+}
+
+// Operate makes one call to the operators' API and decodes the answer into v,
+// which may be nil.
+func (c *Cluster) Operate(d *Daemon, method, path string, body []byte, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), OperatorTimeout)
+	defer cancel()
+	resp, err := c.operator.Do(ctx, d.HTTP, apiclient.Request{
+		Method: method, Path: path, Body: body, ContentType: "application/yaml", Timeout: OperatorTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	if resp.Status != http.StatusOK {
+		return apiclient.Problem(resp.Status, resp.Body)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(resp.Body, v)
+}
+
+// TryApply stores objects and returns the revision.
+func (c *Cluster) TryApply(d *Daemon, objects string) (int64, error) {
+	var answer operatorapi.ApplyAnswer
+	err := c.Operate(d, http.MethodPost, operatorapi.PathApply, []byte(objects), &answer)
+	return answer.Revision, err
+}
+
+// Apply stores objects, which must succeed, and returns the revision.
+func (c *Cluster) Apply(d *Daemon, objects string) int64 {
+	c.T.Helper()
+	revision, err := c.TryApply(d, objects)
+	if err != nil {
+		c.T.Fatalf("apply on %s: %v", d.Name, err)
+	}
+	return revision
+}
+
+// Status asks a daemon for its state.
+func (c *Cluster) Status(d *Daemon) (operatorapi.Status, error) {
+	var status operatorapi.Status
+	err := c.Operate(d, http.MethodGet, operatorapi.PathStatus, nil, &status)
+	return status, err
+}
+
+// Ready returns nil if /readyz of a daemon succeeds.
+func (c *Cluster) Ready(d *Daemon) error {
+	return c.Operate(d, http.MethodGet, "/readyz", nil, nil)
+}
+
+// WaitReady waits until the daemons are ready.
+func (c *Cluster) WaitReady(daemons ...*Daemon) {
+	c.T.Helper()
+	for _, d := range daemons {
+		c.Wait(d.Name+" ready", readyTimeout, func() error { return c.Ready(d) })
+	}
+}
+
+// WaitMembers waits until each of the daemons sees n live members.
+func (c *Cluster) WaitMembers(n int, daemons ...*Daemon) {
+	c.T.Helper()
+	for _, d := range daemons {
+		c.Wait(fmt.Sprintf("%d members on %s", n, d.Name), readyTimeout, func() error {
+			status, err := c.Status(d)
+			if err != nil {
+				return err
+			}
+			if live := LiveMembers(status); live != n {
+				return fmt.Errorf("%d live members: %+v", live, status.Members)
+			}
+			return nil
+		})
+	}
+}
+
+// LiveMembers counts the members that serve.
+func LiveMembers(status operatorapi.Status) int {
+	live := 0
+	for _, m := range status.Members {
+		if m.State == "alive" {
+			live++
+		}
+	}
+	return live
+}
+
+// WaitRevision waits until a configuration revision is in force on the daemons.
+func (c *Cluster) WaitRevision(revision int64, daemons ...*Daemon) {
+	c.T.Helper()
+	for _, d := range daemons {
+		c.Wait(fmt.Sprintf("revision %d on %s", revision, d.Name), readyTimeout, func() error {
+			status, err := c.Status(d)
+			if err != nil {
+				return err
+			}
+			if status.Revision < revision {
+				return fmt.Errorf("revision %d", status.Revision)
+			}
+			return nil
+		})
+	}
+}
+
+// DrainUpstream announces through one daemon that an upstream leaves.
+func (c *Cluster) DrainUpstream(d *Daemon, name string, notice time.Duration) error {
+	path := fmt.Sprintf("%s/%s/drain?notice=%s", operatorapi.PathUpstream, name, notice)
+	return c.Operate(d, http.MethodPost, path, nil, nil)
+}
