Apply read timeouts of streams to each read

Cause: hertz turns WithReadTimeout into one deadline, although its interface says that the timeout works for every read. Streams from engines ended after first_byte_timeout (default 15 s) with 'i/o timeout'; streams of rudderctl ended after its timeout. Ruled out: the watchdog of the engine adapter; it is reset by each event. Change: connections to upstreams and daemons renew the deadline before a read. Conclusion: streams may last longer than the first byte timeout.

--- a/internal/apiclient/client.go
+++ b/internal/apiclient/client.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
@@ -150,7 +151,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
 	}
-	return conn, nil
+	return readtimeout.Wrap(conn), nil
 }
 
 func (d dialer) DialTimeout(netw, address string, timeout time.Duration, cfg *tls.Config) (net.Conn, error) {
--- /dev/null
+++ b/internal/readtimeout/readtimeout_test.go
@@ -0,0 +1,59 @@
+package readtimeout_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
+)
+
+const (
+	timeout = 400 * time.Millisecond
+	gap     = 100 * time.Millisecond
+	parts   = 10
+)
+
+// dialStream connects to a server that sends a byte after each gap and then
+// nothing more.
+func dialStream(t *testing.T) network.Conn {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		server, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = server.Close() })
+		for range parts {
+			time.Sleep(gap)
+			_, _ = server.Write([]byte("x"))
+		}
+	}()
+	conn, err := standard.NewDialer().DialConnection("tcp", listener.Addr().String(), time.Second, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	return readtimeout.Wrap(conn)
+}
+
+// Guards against streams that are cut because they last longer than the time
+// allowed for one read, and against reads without a bound.
+func TestTimeoutAppliesToEachRead(t *testing.T) {
+	g := NewWithT(t)
+	conn := dialStream(t)
+	g.Expect(conn.SetReadTimeout(timeout)).To(Succeed())
+	for range parts {
+		_, err := conn.ReadByte()
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	begin := time.Now()
+	_, err := conn.ReadByte()
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(time.Since(begin)).To(And(BeNumerically(">", timeout/2), BeNumerically("<", 3*timeout)))
+}
--- a/internal/upstreamhttp/client.go
+++ b/internal/upstreamhttp/client.go
@@ -16,6 +16,8 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
 )
 
 // ErrNotConnected means that no connection was made, so that no byte of the
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
 	}
-	return conn, nil
+	return readtimeout.Wrap(conn), nil
 }
 
 func (d dialer) DialTimeout(netw, address string, timeout time.Duration, cfg *tls.Config) (net.Conn, error) {
