--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 .PHONY: build run test bench lint capacity generate tools
 
 build:
-	go build -o $(BIN)/ ./cmd/... ./test/standin/cmd/...
+	go build -o $(BIN)/ ./cmd/... ./test/standin/cmd/... ./test/load/...
 
 run: build
 	./test/run/run.sh
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -286,7 +286,7 @@
 		}
 	})
 	d.admission.SetAccounts(accounts)
-	d.admission.SetCapacity(d.directory.Capacity(), 0)
+	d.admission.SetCapacity(d.directory.Capacity())
 	d.gossip.SetSelf(func(m *membership.Member) { m.ConfigRevision = s.Revision })
 	d.log.Info("configuration in force", "revision", s.Revision, "objects", s.Set.Len())
 }
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -35,7 +35,7 @@
 func (d *Daemon) runCapacity(ctx context.Context) error {
 	return d.every(ctx, capacityInterval, func() {
 		d.directory.Refresh()
-		d.admission.SetCapacity(d.directory.Capacity(), 0)
+		d.admission.SetCapacity(d.directory.Capacity())
 		d.admission.Sweep()
 	})
 }
