Pass kept streams on when their keeper leaves too

Cause: a second reclaim during the first took the daemon that kept the copies, and the records were lost with it. Change: a leaving keeper ends its Replicate streams, so that daemons that still run copy their streams to another peer, and gives away the records of daemons that are gone. Ruled out: asking every daemon for an unknown request; at 420 daemons one lost caller costs 420 calls. Conclusion: closes the gap in the code, not yet proved.

--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -47,9 +47,22 @@
 		}
 	}
 	c.d.log.Info("streams copied", "count", len(c.requests), "peer", c.httpAddress)
+	c.passOnLocked(ctx)
 	return nil
 }
 
+// passOnLocked gives away the records that this daemon keeps for daemons that
+// are gone. Daemons that still run copy theirs elsewhere when Leave ends their
+// streams.
+func (c *streamCopier) passOnLocked(ctx context.Context) {
+	c.d.keeper.Leave()
+	for _, record := range c.d.keeper.Orphans() {
+		if err := c.replicator.Open(ctx, record); err != nil {
+			c.d.log.Warn("kept request not passed on", "request", record.GetRequestId(), "error", err.Error())
+		}
+	}
+}
+
 // connectLocked opens a stream to the next peer outside the data centre.
 func (c *streamCopier) connectLocked(ctx context.Context) error {
 	overlay := c.d.gossip.Overlay()
--- a/internal/handover/keeper.go
+++ b/internal/handover/keeper.go
@@ -8,6 +8,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
@@ -43,7 +45,10 @@
 	// these records wait until a caller asks for them.
 	onTakeOver func(requestID string)
 
+	leaving chan struct{} // closed by Leave
+
 	mu      sync.Mutex
+	left    bool
 	records map[string]*keptRecord
 	bytes   int64
 	sweepAt time.Time
@@ -57,9 +62,8 @@
 	expires time.Time
 }
 
-// session is one Replicate stream. It has a size, because pointers to distinct
-// zero-size variables may be equal.
-type session struct{ _ byte }
+// session is one Replicate stream; guarded by Keeper.mu.
+type session struct{ ended bool }
 
 var _ peer.StreamHandler = (*Keeper)(nil)
 
@@ -68,12 +72,28 @@
 	if onTakeOver == nil {
 		onTakeOver = func(string) {}
 	}
-	return &Keeper{clock: clock, limits: limits, onTakeOver: onTakeOver, records: make(map[string]*keptRecord)}
+	return &Keeper{clock: clock, limits: limits, onTakeOver: onTakeOver, records: make(map[string]*keptRecord), leaving: make(chan struct{})}
 }
 
-// Replicate implements peer.StreamHandler.
+// Replicate implements peer.StreamHandler. It ends with an error when this
+// daemon leaves, so that the other daemon copies its records elsewhere.
 func (k *Keeper) Replicate(stream grpc.BidiStreamingServer[peerv1.ReplicateRequest, peerv1.ReplicateResponse]) error {
 	owner := &session{}
+	ended := make(chan error, 1)
+	go func() { ended <- k.serve(owner, stream) }()
+	var err error
+	select {
+	case err = <-ended:
+	case <-k.leaving:
+		err = status.Error(codes.Unavailable, "this daemon is leaving")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	owner.ended = true
+	return err
+}
+
+func (k *Keeper) serve(owner *session, stream grpc.BidiStreamingServer[peerv1.ReplicateRequest, peerv1.ReplicateResponse]) error {
 	for {
 		request, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -92,9 +112,40 @@
 	}
 }
 
+// Leave refuses records from now on and ends the Replicate streams.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.left {
+		k.left = true
+		close(k.leaving)
+	}
+}
+
+// Orphans takes the records whose daemon is no longer connected, so that they
+// can be copied to another daemon.
+func (k *Keeper) Orphans() []*peerv1.RequestRecord {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var orphans []*peerv1.RequestRecord
+	for _, kept := range k.records {
+		if kept.record == nil || !kept.owner.ended {
+			continue
+		}
+		orphans = append(orphans, kept.record)
+		kept.record = nil
+		k.bytes -= kept.size
+		kept.size = 0
+	}
+	return orphans
+}
+
 func (k *Keeper) handle(owner *session, request *peerv1.ReplicateRequest) (id string, acked int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if owner.ended || k.left {
+		return "", refusedEventID
+	}
 	switch kind := request.GetKind().(type) {
 	case *peerv1.ReplicateRequest_Open:
 		return kind.Open.GetRequestId(), k.open(owner, kind.Open)
