--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -151,13 +151,3 @@
 	sum := sha256.Sum256([]byte(key))
 	return "sha256:" + hex.EncodeToString(sum[:]), nil
 }
-
-type chartsCmd struct{}
-
-// printCharts writes the statecharts as Mermaid diagrams. It fails until the
-// package with the embedded charts is part of the program.
-var printCharts = func(io.Writer) error {
-	return errors.New("this build contains no statecharts")
-}
-
-func (c *chartsCmd) Run(g *Globals) error { return printCharts(g.out) }
