Shorten the trust in load samples

Change: a load sample loses half of its meaning in 250 ms instead of 2 s; equal scores within 5 ms are not compared. Ruled out: a lifetime proportional to the sampled wait, which spilled more.

--- a/pkg/routing/picker_affinity.go
+++ b/pkg/routing/picker_affinity.go
@@ -148,10 +148,6 @@
 	return 1 << (bits.Len(uint(n)) - 1)
 }
 
-func (p *Affinity) bound(v *View) float64 {
-	return p.config.LoadFactor*v.MeanWait + p.config.SlackSeconds
-}
-
 // insertRanked keeps the n highest-ranked candidates in order.
 func (v *View) insertRanked(c *Candidate, rank uint64, n int) {
 	at := len(v.ranks)
@@ -166,7 +162,13 @@
 	v.ranks, v.selected = v.ranks[:min(n, len(v.ranks))], v.selected[:min(n, len(v.selected))]
 }
 
-// two draws two different candidates and returns the one with the lower score.
+// scoreNoise is the difference of scores in seconds that is no reason to prefer
+// a candidate. Without it, small constant differences such as a network round
+// trip decide most draws and pile requests up on a few upstreams.
+const scoreNoise = 0.005
+
+// two draws two different candidates and returns the one with the lower score,
+// or the first one drawn if the scores are nearly equal.
 func (p *Affinity) two(v *View, from []*Candidate) *Candidate {
 	if len(from) == 1 {
 		return from[0]
@@ -176,7 +178,7 @@
 	if j >= i {
 		j++
 	}
-	if v.Score(from[j]) < v.Score(from[i]) {
+	if v.Score(from[j])+scoreNoise < v.Score(from[i]) {
 		return from[j]
 	}
 	return from[i]
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -34,8 +34,10 @@
 }
 
 // loadLifetime is the age at which a load sample has lost half of its meaning:
-// queues in front of an engine turn over in about two seconds.
-const loadLifetime = 2 * time.Second
+// the queue that it saw has mostly been served. With 2 s instead, the policy
+// benchmark recomputed 1.1 to 1.7 times as many tokens on mix A, because picks
+// fled from queues that no longer existed.
+const loadLifetime = 250 * time.Millisecond
 
 // summarise computes the set-wide means and the wait of each candidate.
 func (v *View) summarise() {
