--- a/pkg/health/watch.go
+++ b/pkg/health/watch.go
@@ -10,15 +10,18 @@
 type Watch struct {
 	tracker *Tracker
 	name    string
-	last    atomic.Int64 // Unix nanoseconds of the last byte
+	last    atomic.Int64 // Unix nanoseconds; in the future during the grace for the first byte
 	frozen  chan struct{}
 	once    sync.Once
 }
 
-// Watch starts watching an attempt on an upstream. Call Stop when it ends.
-func (t *Tracker) Watch(name string) *Watch {
+// Watch starts watching an attempt on an upstream. firstByte is the time that
+// the first byte may take, for example behind a queue of long prompts;
+// Config.FreezeAfter applies if it is shorter. Call Stop when the attempt ends.
+func (t *Tracker) Watch(name string, firstByte time.Duration) *Watch {
 	w := &Watch{tracker: t, name: name, frozen: make(chan struct{})}
-	w.Progress()
+	grace := max(0, firstByte-t.config.FreezeAfter)
+	w.last.Store(t.config.Clock.Now().Add(grace).UnixNano())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.watches[w] = struct{}{}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -37,6 +37,9 @@
 	// rateWindow is the time over which the offered load is measured to decide
 	// whether the floor applies.
 	rateWindow = 5 * time.Second
+	// tokenUnit makes the sum of many requests exact; with floating point, ten
+	// requests at a ratio of 0.2 earned slightly less than two retries.
+	tokenUnit = 1_000_000
 )
 
 // Budget bounds the retries of one service; hedges count as retries. It is
@@ -50,7 +53,7 @@
 	config BudgetConfig
 
 	mu      sync.Mutex
-	tokens  float64 // earned by offered requests
+	tokens  int64   // earned by offered requests, in 1/tokenUnit of a retry
 	floor   float64 // earned by time
 	refill  time.Time
 	offered float64 // exponentially smoothed requests per second
@@ -88,7 +91,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests++
-	b.tokens = min(b.tokens+b.config.Ratio, b.config.Burst)
+	b.tokens = min(b.tokens+int64(b.config.Ratio*tokenUnit), int64(b.config.Burst*tokenUnit))
 	b.decay()
 	b.offered += 1 / rateWindow.Seconds()
 	if b.offered*b.config.Ratio >= b.config.Floor {
@@ -102,8 +105,8 @@
 	defer b.mu.Unlock()
 	b.decay()
 	switch {
-	case b.tokens >= 1:
-		b.tokens--
+	case b.tokens >= tokenUnit:
+		b.tokens -= tokenUnit
 	case b.floor >= 1 && b.rateAt.Sub(b.lowSince) >= rateWindow:
 		b.floor--
 	default:
--- a/pkg/routing/index.go
+++ b/pkg/routing/index.go
@@ -14,7 +14,7 @@
 	// hintLifetime is the age after which a hint is ignored. Engines reuse
 	// cache memory without notice when an event is lost.
 	hintLifetime = 10 * time.Minute
-	// DefaultIndexBlocks bounds an index to about 10 MB.
+	// DefaultIndexBlocks bounds an index to 12 MB of heap.
 	DefaultIndexBlocks = 1 << 16
 	// indexStride is the distance of indexed blocks. A hint needs no better
 	// resolution, and indexing every block took half of the time of a pick.
--- a/pkg/routing/picker_affinity.go
+++ b/pkg/routing/picker_affinity.go
@@ -116,9 +116,9 @@
 	}
 	second := v.selected[1+p.config.IntN(len(v.selected)-1)]
 	if v.Score(second)+v.seconds(keyDepth(v.Request.Blocks), first) < v.Score(first) {
-		return second
+		return p.thin(second, first)
 	}
-	return first
+	return p.thin(first, second)
 }
 
 // below selects all upstreams below the bound.
@@ -167,6 +167,9 @@
 // trip decide most draws and pile requests up on a few upstreams.
 const scoreNoise = 0.005
 
+// weightSteps is the resolution of health weights in draws.
+const weightSteps = 1000
+
 // two draws two different candidates and returns the one with the lower score,
 // or the first one drawn if the scores are nearly equal.
 func (p *Affinity) two(v *View, from []*Candidate) *Candidate {
@@ -178,8 +181,22 @@
 	if j >= i {
 		j++
 	}
-	if v.Score(from[j])+scoreNoise < v.Score(from[i]) {
-		return from[j]
+	best, other := from[i], from[j]
+	if v.Score(other)+scoreNoise < v.Score(best) {
+		best, other = other, best
+	}
+	return p.thin(best, other)
+}
+
+// thin returns other instead of best as often as best's health weight demands.
+// Load alone doesn't protect an upstream in slow start while the set is idle.
+func (p *Affinity) thin(best, other *Candidate) *Candidate {
+	weight := best.HealthWeight()
+	if weight >= 1 || weight >= other.HealthWeight() {
+		return best
+	}
+	if float64(p.config.IntN(weightSteps)) < weight*weightSteps {
+		return best
 	}
-	return from[i]
+	return other
 }
