--- a/pkg/routing/picker_affinity.go
+++ b/pkg/routing/picker_affinity.go
@@ -116,9 +116,9 @@
 	}
 	second := v.selected[1+p.config.IntN(len(v.selected)-1)]
 	if v.Score(second)+v.seconds(keyDepth(v.Request.Blocks), first) < v.Score(first) {
-		return second
+		return p.thin(second, first)
 	}
-	return first
+	return p.thin(first, second)
 }
 
 // below selects all upstreams below the bound.
@@ -148,10 +148,6 @@
 	return 1 << (bits.Len(uint(n)) - 1)
 }
 
-func (p *Affinity) bound(v *View) float64 {
-	return p.config.LoadFactor*v.MeanWait + p.config.SlackSeconds
-}
-
 // insertRanked keeps the n highest-ranked candidates in order.
 func (v *View) insertRanked(c *Candidate, rank uint64, n int) {
 	at := len(v.ranks)
@@ -166,7 +162,16 @@
 	v.ranks, v.selected = v.ranks[:min(n, len(v.ranks))], v.selected[:min(n, len(v.selected))]
 }
 
-// two draws two different candidates and returns the one with the lower score.
+// scoreNoise is the difference of scores in seconds that is no reason to prefer
+// a candidate. Without it, small constant differences such as a network round
+// trip decide most draws and pile requests up on a few upstreams.
+const scoreNoise = 0.005
+
+// weightSteps is the resolution of health weights in draws.
+const weightSteps = 1000
+
+// two draws two different candidates and returns the one with the lower score,
+// or the first one drawn if the scores are nearly equal.
 func (p *Affinity) two(v *View, from []*Candidate) *Candidate {
 	if len(from) == 1 {
 		return from[0]
@@ -176,8 +181,22 @@
 	if j >= i {
 		j++
 	}
-	if v.Score(from[j]) < v.Score(from[i]) {
-		return from[j]
+	best, other := from[i], from[j]
+	if v.Score(other)+scoreNoise < v.Score(best) {
+		best, other = other, best
+	}
+	return p.thin(best, other)
+}
+
+// thin returns other instead of best as often as best's health weight demands.
+// Load alone doesn't protect an upstream in slow start while the set is idle.
+func (p *Affinity) thin(best, other *Candidate) *Candidate {
+	weight := best.HealthWeight()
+	if weight >= 1 || weight >= other.HealthWeight() {
+		return best
+	}
+	if float64(p.config.IntN(weightSteps)) < weight*weightSteps {
+		return best
 	}
-	return from[i]
+	return other
 }
