Read event streams without hertz's ForEach

Change: one function reads events for the engine adapter and the client; it waits for its watch on the context. Ruled out: keeping it in the engine adapter since its connections are not reused; the body stream objects are. Conclusion: a cancelled attempt can't cut a foreign stream.

--- a/internal/apiclient/stream.go
+++ b/internal/apiclient/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/eventstream"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
@@ -169,13 +169,8 @@
 	if id := resp.Header.Get("X-Request-Id"); id != "" {
 		end.RequestID = id
 	}
-	reader, err := sse.NewReader(resp)
+	err := eventstream.Read(ctx, resp, maxEventBytes, func(e *sse.Event) error { return end.receive(e, f) })
 	if err != nil {
-		return errors.Wrap(err, "read stream")
-	}
-	reader.SetMaxBufferSize(maxEventBytes)
-	defer closeOnEnd(ctx, resp)()
-	if err := readEvents(reader, func(e *sse.Event) error { return end.receive(e, f) }); err != nil {
 		return err
 	}
 	if !end.Whole {
@@ -184,42 +179,6 @@
 	return nil
 }
 
-// closeOnEnd closes the connection of resp when ctx ends, so that reads return.
-// The returned function ends the watch and waits for it. Reader.ForEach does
-// not wait: if ctx ends right after it returns, it may close the connection of
-// a later request, because hertz reuses the body streams of responses.
-func closeOnEnd(ctx context.Context, resp *protocol.Response) func() {
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		if body, ok := resp.BodyStream().(interface{ ForceClose() error }); ok {
-			_ = body.ForceClose()
-		}
-	})
-	return func() {
-		if !stop() {
-			<-closed
-		}
-	}
-}
-
-func readEvents(reader *sse.Reader, f func(*sse.Event) error) error {
-	e := sse.NewEvent()
-	defer e.Release()
-	for {
-		err := reader.Read(e)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "read stream")
-		}
-		if err := f(e); err != nil {
-			return err
-		}
-	}
-}
-
 // movedError is the error for a stream that continues at other addresses.
 func movedError(data []byte) error {
 	var moved struct {
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/eventstream"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreamhttp"
 )
 
@@ -83,17 +84,12 @@
 }
 
 func readStream(ctx context.Context, resp *protocol.Response, call Call, f func(Chunk) error) error {
-	reader, err := sse.NewReader(resp)
-	if err != nil {
-		return errors.Wrapf(ErrFailed, "%v", err)
-	}
-	reader.SetMaxBufferSize(maxEventBytes)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(call.FirstByteTimeout, cancel)
 	defer watchdog.Stop()
 	state := streamState{callback: f, reported: -1}
-	err = reader.ForEach(ctx, func(e *sse.Event) error {
+	err := eventstream.Read(ctx, resp, maxEventBytes, func(e *sse.Event) error {
 		watchdog.Reset(call.TokenTimeout)
 		return state.event(e.Data)
 	})
