Add failure tests of orders

Cause: G4 and G5 were not tested with processes. Change: tests of one key on several daemons, lost replies, killed and frozen executors, hand-over, and mixed faults, with the store up and down.

--- a/test/e2e/leaving_test.go
+++ b/test/e2e/leaving_test.go
@@ -53,9 +53,9 @@
 	if down != store.DownNone {
 		storeDown(t, c, down)
 	}
-	leaver := c.Engines[c.Random(len(c.Engines))]
 	chats := startChats(c, 21, longTokens, c.Daemons...)
 	c.WaitTokens(5, chats...)
+	leaver := busiest(t, c)
 	load := c.StartLoad(6, c.Daemons...)
 	noticed := time.Now()
 	if err := leave(c, leaver); err != nil {
@@ -67,6 +67,20 @@
 	report.Add(t, "requests to a leaving upstream after 2 s: "+t.Name(), float64(late), "requests", 0)
 }
 
+// busiest returns the engine with the most requests so far.
+func busiest(t *testing.T, c *harness.Cluster) *harness.Engine {
+	best := c.Engines[0]
+	for _, e := range c.Engines {
+		if e.Stats().Requests > best.Stats().Requests {
+			best = e
+		}
+	}
+	if best.Stats().Requests == 0 {
+		t.Fatal("no engine got a request")
+	}
+	return best
+}
+
 // requestsAfter counts the requests that an engine gets between two moments.
 func requestsAfter(e *harness.Engine, from, to time.Time) int {
 	sleepUntil(from)
--- /dev/null
+++ b/test/e2e/orders_test.go
@@ -0,0 +1,268 @@
+package e2e
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+	"github.com/dogwoodrudder/dogwoodrudder/test/e2e/report"
+	"github.com/dogwoodrudder/dogwoodrudder/test/harness"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/app"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/fault"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/store"
+)
+
+const (
+	// suspicionTime is well above the time in which the daemons of a cluster
+	// declare a silent one dead: suspect_after plus some probe intervals.
+	suspicionTime = 3 * time.Second
+	// settleTime lets an execution that must not happen happen.
+	settleTime = 1500 * time.Millisecond
+	slowOrder  = time.Second
+)
+
+// orderTest runs a case on a cluster with the store up and with the store down
+// throughout, and checks that no order ran twice and that no answer was wrong.
+func orderTest(t *testing.T, options app.Options, run func(t *testing.T, c *harness.Cluster)) {
+	t.Helper()
+	for name, down := range map[string]store.Down{"store up": store.DownNone, "store down": store.DownHang} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := harness.New(t, harness.Options{Engines: 1, App: options})
+			if down != store.DownNone {
+				storeDown(t, c, down)
+			}
+			run(t, c)
+			time.Sleep(settleTime)
+			figures := c.CheckOrders()
+			report.Add(t, "executions of one key: "+t.Name(), float64(figures.MaxExecutions), "executions", 1)
+			report.Add(t, "share of unknown answers: "+t.Name(), figures.UnknownShare(), "share", 1)
+		})
+	}
+}
+
+// sendAll sends a key to the daemons at once and returns the answers.
+func sendAll(c *harness.Cluster, key string, daemons ...*harness.Daemon) []harness.OrderAnswer {
+	answers := make([]harness.OrderAnswer, len(daemons))
+	var group sync.WaitGroup
+	for i, d := range daemons {
+		group.Go(func() { answers[i] = c.Order(d, key) })
+	}
+	group.Wait()
+	return answers
+}
+
+// inBackground sends a key and returns a channel with the answer.
+func inBackground(c *harness.Cluster, d *harness.Daemon, key string) <-chan harness.OrderAnswer {
+	answer := make(chan harness.OrderAnswer, 1)
+	go func() { answer <- c.Order(d, key) }()
+	return answer
+}
+
+func expectExecution(t *testing.T, a harness.OrderAnswer, want ...result.Execution) {
+	t.Helper()
+	for _, execution := range want {
+		if a.Execution == execution {
+			return
+		}
+	}
+	t.Errorf("%s answered %q to %s, want one of %q: %v", a.Daemon, a.Execution, a.Key, want, a.Err)
+}
+
+// The same key at several daemons at once, and again, must run once (G5), and
+// every daemon must give the same answer.
+func TestOrderSameKeyAtOnce(t *testing.T) {
+	orderTest(t, app.Options{ServiceTime: 50 * time.Millisecond}, func(t *testing.T, c *harness.Cluster) {
+		for _, executor := range c.Daemons {
+			key := c.NewKey(executor)
+			for range 2 {
+				for _, a := range sendAll(c, key, c.Daemons...) {
+					expectExecution(t, a, result.Ran)
+				}
+			}
+		}
+	})
+}
+
+// A reply that is lost after the execution must be reported as unknown (G4),
+// and a retry after the caller's timeout must not run the order again (G5).
+func TestOrderReplyLost(t *testing.T) {
+	orderTest(t, app.Options{}, func(t *testing.T, c *harness.Cluster) {
+		for _, hang := range []bool{false, true} {
+			for _, a := range c.Apps {
+				a.Faults().Put(fault.Faults{Path: "/reservations", LoseRate: 1, LoseByHang: hang})
+			}
+			key := c.NewKey(c.Daemons[0])
+			expectExecution(t, c.Order(c.Daemons[1], key), result.Unknown)
+			for _, a := range c.Apps {
+				a.Faults().Put(fault.Faults{})
+			}
+			for _, a := range sendAll(c, key, c.Daemons...) {
+				expectExecution(t, a, result.Unknown)
+			}
+		}
+	})
+}
+
+// An executor that is killed before, during or after the send must not lead to
+// a second execution or to "not run" for an order that ran.
+func TestOrderExecutorKilled(t *testing.T) {
+	orderTest(t, app.Options{ServiceTime: slowOrder}, func(t *testing.T, c *harness.Cluster) {
+		before, during, after, others := c.Daemons[0], c.Daemons[1], c.Daemons[2], c.Daemons[3:]
+		keys := []string{c.NewKey(before), c.NewKey(during), c.NewKey(after)}
+		before.Kill()
+		first := inBackground(c, others[0], keys[0])
+		running := inBackground(c, others[1], keys[1])
+		direct := inBackground(c, during, keys[1])
+		expectExecution(t, c.Order(after, keys[2]), result.Ran)
+		after.Kill()
+		again := inBackground(c, others[2], c.NewKey(during))
+		time.Sleep(slowOrder / 2)
+		during.Kill()
+		for _, answer := range []<-chan harness.OrderAnswer{first, running, direct, again} {
+			<-answer
+		}
+		for range 2 {
+			for _, key := range keys {
+				for _, a := range sendAll(c, key, others...) {
+					expectExecution(t, a, result.Unknown)
+				}
+			}
+			time.Sleep(suspicionTime / 2)
+		}
+		for _, d := range []*harness.Daemon{before, during, after} {
+			if err := d.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.WaitReady(c.Daemons...)
+		for _, key := range keys {
+			for _, a := range sendAll(c, key, c.Daemons...) {
+				expectExecution(t, a, result.Unknown)
+			}
+		}
+	})
+}
+
+// An executor that is frozen beyond the suspicion time must not run an order
+// after it thaws if a caller got "not run", and never twice.
+func TestOrderExecutorFrozen(t *testing.T) {
+	orderTest(t, app.Options{ServiceTime: 300 * time.Millisecond}, func(t *testing.T, c *harness.Cluster) {
+		executor, others := c.Daemons[c.Random(len(c.Daemons))], []*harness.Daemon{}
+		for _, d := range c.Daemons {
+			if d != executor {
+				others = append(others, d)
+			}
+		}
+		sent, early, late := c.NewKey(executor), c.NewKey(executor), c.NewKey(executor)
+		answers := []<-chan harness.OrderAnswer{inBackground(c, executor, sent)}
+		time.Sleep(100 * time.Millisecond)
+		executor.Freeze()
+		answers = append(answers, inBackground(c, others[0], early), inBackground(c, others[1], sent))
+		time.Sleep(suspicionTime)
+		answers = append(answers, inBackground(c, others[2], late), inBackground(c, others[3], early))
+		time.Sleep(300 * time.Millisecond)
+		executor.Thaw()
+		for _, answer := range answers {
+			<-answer
+		}
+		time.Sleep(settleTime)
+		for _, key := range []string{sent, early, late} {
+			sendAll(c, key, c.Daemons...)
+		}
+	})
+}
+
+// Orders that run while their executor stops gracefully must keep their
+// answers: the successor answers for the keys (G5, G7).
+func TestOrderHandOver(t *testing.T) {
+	orderTest(t, app.Options{ServiceTime: slowOrder}, func(t *testing.T, c *harness.Cluster) {
+		executor, others := c.Daemons[0], c.Daemons[1:]
+		done := c.NewKey(executor)
+		expectExecution(t, c.Order(executor, done), result.Ran)
+		var answers []<-chan harness.OrderAnswer
+		var keys []string
+		for i := range 12 {
+			key := c.NewKey(executor)
+			keys = append(keys, key)
+			answers = append(answers, inBackground(c, c.Daemons[i%len(c.Daemons)], key))
+		}
+		unsent := c.NewKey(executor)
+		time.Sleep(slowOrder / 4)
+		executor.Terminate()
+		time.Sleep(slowOrder / 4)
+		for _, key := range keys {
+			answers = append(answers, inBackground(c, others[c.Random(len(others))], key))
+		}
+		for _, answer := range answers {
+			expectExecution(t, <-answer, result.Ran)
+		}
+		if err := executor.Stop(); err != nil {
+			t.Error(err)
+		}
+		for _, a := range sendAll(c, done, others...) {
+			expectExecution(t, a, result.Ran)
+		}
+		for _, key := range keys {
+			expectExecution(t, c.Order(others[c.Random(len(others))], key), result.Ran)
+		}
+		for _, a := range sendAll(c, unsent, others...) {
+			expectExecution(t, a, result.Ran, result.NotRun, result.Unknown)
+		}
+	})
+}
+
+// Orders under a mixture of kills, freezes, graceful stops and lost replies
+// must keep at-most-once execution and true answers.
+func TestOrderMixedFailures(t *testing.T) {
+	orderTest(t, app.Options{ServiceTime: 40 * time.Millisecond}, func(t *testing.T, c *harness.Cluster) {
+		for _, a := range c.Apps {
+			a.Faults().Put(fault.Faults{Path: "/reservations", LoseRate: 0.1, CutRate: 0.1, SlowFactor: 2})
+		}
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		for range 8 {
+			group.Go(func() { orderLoop(c, stop) })
+		}
+		for range 3 {
+			victims := c.Daemons[1+c.Random(len(c.Daemons)-3):]
+			victims[0].Freeze()
+			time.Sleep(200 * time.Millisecond)
+			victims[1].Kill()
+			victims[2].Terminate()
+			time.Sleep(suspicionTime / 2)
+			victims[0].Thaw()
+			_ = victims[2].Stop()
+			for _, d := range victims[1:3] {
+				if err := d.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		close(stop)
+		group.Wait()
+	})
+}
+
+// orderLoop sends orders one after another: each key to two daemons at once
+// and to a third one afterwards.
+func orderLoop(c *harness.Cluster, stop <-chan struct{}) {
+	pick := func() *harness.Daemon { return c.Daemons[c.Random(len(c.Daemons))] }
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		token, err := c.Token(pick())
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		key := harness.KeyOf(token)
+		sendAll(c, key, pick(), pick())
+		c.Order(pick(), key)
+	}
+}
--- a/test/harness/daemon.go
+++ b/test/harness/daemon.go
@@ -19,6 +19,7 @@
 	// the daemon takes to close its listeners.
 	stopTimeout  = 14 * time.Second
 	killTimeout  = 5 * time.Second
+	dumpTime     = time.Second
 	logTailBytes = 12 << 10
 	logKeepBytes = 1 << 20
 )
@@ -219,6 +220,8 @@
 	select {
 	case <-exited:
 	case <-time.After(stopTimeout):
+		d.signal(syscall.SIGQUIT) // the log then shows what each goroutine waits for
+		time.Sleep(dumpTime)
 		d.Kill()
 		return fmt.Errorf("%s did not end within %s after SIGTERM", d.Name, stopTimeout)
 	}
