--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/gossip"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/handover"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/moves"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/orders"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
@@ -70,6 +71,7 @@
 	keeper    *handover.Keeper
 	rings     rings
 	proxy     *proxy.Proxy
+	moves     *moves.Manager
 	server    *server.Server
 	calls     *ants.Pool
 	runner    *duty.Runner
@@ -88,7 +90,7 @@
 		settings: s, clock: clockwork.NewRealClock(), log: log.With("daemon", s.Daemon.Name),
 		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}), rings: newRings(),
 	}
-	steps := []func() error{d.buildStore, d.buildPeers, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
+	steps := []func() error{d.buildStore, d.buildPeers, d.buildMoves, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -135,6 +137,7 @@
 		Broadcaster: broadcaster{d.gossip, d.log},
 		Watches:     func() bool { return d.gossip.Overlay().WatchesStore(d.id) },
 		FetchPeer:   d.peerAhead,
+		Verdicts:    d.verdicts, OnVerdicts: d.onVerdicts,
 	})
 	d.operator = config.NewOperator(d.config)
 	return nil
@@ -225,9 +228,9 @@
 	d.keeper = handover.NewKeeper(d.clock, handover.DefaultLimits(), d.takeOverStream)
 	d.proxy, err = proxy.New(proxy.Options{
 		Clock: d.clock, Log: d.log, Directory: d.directory, Admission: d.admission,
-		Versions: &proxy.RouteVersions{Config: d.config.Current},
+		Versions: &proxy.RouteVersions{Config: d.config.Current, Moves: d.moves},
 		Engine:   d.engine, App: d.app, Orders: &orderAdapter{d}, Config: d.config.Current,
-		Observe: func(proxy.Observation) {}, Calls: d.calls,
+		Observe: d.moves.Observe, Calls: d.calls,
 		Records: d.keeper, Accounts: d.callerOf,
 		RequestTimeout: d.settings.Limits.RequestTimeout, FirstByteTimeout: d.settings.Upstreams.FirstByteTimeout,
 		TokenTimeout: d.settings.Upstreams.TokenTimeout, MigrationDeadline: d.settings.Upstreams.MigrationDeadline,
@@ -247,17 +250,15 @@
 	d.grpc = grpc.NewServer(peer.ServerOptions()...)
 	peerv1.RegisterPeerServer(d.grpc, &peer.Service{
 		GossipHandler: d.gossip, ConfigHandler: d.config,
-		OrderHandler: d.executor, StreamHandler: d.keeper, EvidenceHandler: notServed{},
+		OrderHandler: d.executor, StreamHandler: d.keeper, EvidenceHandler: d.moves,
 	})
 	return nil
 }
 
-// notServed answers calls whose handler this build lacks.
-type notServed struct{ peerv1.UnimplementedPeerServer }
-
 // connect joins the parts that call each other.
 func (d *Daemon) connect() {
 	d.config.Subscribe(d.onSnapshot)
+	d.config.Subscribe(d.moves.OnSnapshot)
 	d.gossip.OnItem(d.onItem)
 	d.gossip.OnLag(func(_ string, revision int64) { d.config.NoteRevision(revision) })
 	d.gossip.OnMembers(func(members []membership.Member) { d.budget.SetDaemons(alive(members)) })
@@ -285,7 +286,7 @@
 		}
 	})
 	d.admission.SetAccounts(accounts)
-	d.admission.SetCapacity(d.directory.Capacity(), 0)
+	d.admission.SetCapacity(d.directory.Capacity())
 	d.gossip.SetSelf(func(m *membership.Member) { m.ConfigRevision = s.Revision })
 	d.log.Info("configuration in force", "revision", s.Revision, "objects", s.Set.Len())
 }
@@ -296,6 +297,8 @@
 		d.config.HandleItem(item)
 	case *peerv1.Item_UpstreamNotice:
 		d.onUpstreamNotice(kind.UpstreamNotice)
+	case *peerv1.Item_Verdict:
+		d.moves.HandleItem(item)
 	}
 }
 
@@ -347,6 +350,7 @@
 		{Name: "config-settle", Run: d.config.RunSettler},
 		{Name: "health", Run: monitor.RunChecks},
 		{Name: "capacity", Run: d.runCapacity},
+		{Name: "moves", Run: d.moves.Run},
 		{Name: "request-sweep", Run: d.proxy.RunSweep},
 		{Name: "notice-share", Run: d.runNoticeShare},
 		{Name: "takeovers", Run: d.runTakeovers},
