Return from cloud calls at a stop, widen not run for order keys

Cause: a stopping daemon waited up to 25 s for its long poll of reclaim notices, and a daemon without a configuration answered the retry of an order that had run with code 1100 and not run. Change: exchanges return when their context ends; before the ledger has decided, an order's refusal is unknown; a daemon without a configuration says so with code 2100. Ruled out: a shorter long poll; it costs ten times the calls.

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -28,7 +28,9 @@
 	}
 	reply, err := a.d.executor.Execute(ctx, request)
 	if err != nil {
-		return proxy.AppReply{}, err
+		e := result.From(err)
+		e.HoldsForKey = true
+		return proxy.AppReply{}, e
 	}
 	answer := proxy.AppReply{Replayed: reply.Replayed}
 	answer.Status, answer.Body = reply.Response.Status, reply.Response.Body
--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -55,6 +55,9 @@
 	if equalHash(hash, s.options.BootstrapKeyHash) {
 		return proxy.Caller{Account: bootstrapAccount, Spec: &object.ClientAccount{Role: object.RoleOperator}}, nil
 	}
+	if s.options.Config.Current().Revision == 0 {
+		return proxy.Caller{}, result.New(result.StoreUnavailable, result.NotRun, "the daemon has no configuration yet").WithRetryAfter(1)
+	}
 	return proxy.Caller{}, result.New(result.Unauthenticated, result.NotRun, "header Authorization: the key is unknown")
 }
 
--- a/internal/server/problem.go
+++ b/internal/server/problem.go
@@ -42,6 +42,7 @@
 func writeProblem(c *app.RequestContext, err error) {
 	e := result.From(err)
 	p := problemOf(e, c.Response.Header.Get(headerRequestID))
+	p.Execution = executionForKey(c, e)
 	body, _ := json.Marshal(p)
 	if e.RetryAfterSeconds > 0 {
 		c.Response.Header.Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds))
@@ -51,6 +52,16 @@
 	c.Response.SetBody(body)
 }
 
+// executionForKey widens "not run" to "unknown" for an order that was refused
+// before the ledger was asked: an earlier attempt with the same key may have
+// run through another daemon.
+func executionForKey(c *app.RequestContext, e *result.Error) result.Execution {
+	if e.Execution == result.NotRun && !e.HoldsForKey && len(c.GetHeader(headerOrderKey)) > 0 {
+		return result.Unknown
+	}
+	return e.Execution
+}
+
 func writeJSON(c *app.RequestContext, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -31,8 +31,27 @@
 }
 
 // Exchange makes one attempt. The error wraps ErrNotConnected if no byte was
-// sent; a reply with any status is no error.
+// sent; a reply with any status is no error. When ctx ends, Exchange returns at
+// once; the attempt itself ends at its timeout, since hertz cannot cancel it.
 func (c *Client) Exchange(ctx context.Context, e Exchange) (ExchangeReply, error) {
+	type outcome struct {
+		reply ExchangeReply
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		reply, err := c.exchange(ctx, e)
+		done <- outcome{reply, err}
+	}()
+	select {
+	case o := <-done:
+		return o.reply, o.err
+	case <-ctx.Done():
+		return ExchangeReply{}, errors.Wrapf(ctx.Err(), "%s %s", e.Method, e.Path)
+	}
+}
+
+func (c *Client) exchange(ctx context.Context, e Exchange) (ExchangeReply, error) {
 	if e.Timeout <= 0 {
 		return ExchangeReply{}, errors.Wrap(ErrNotConnected, "the deadline has passed")
 	}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -31,6 +31,9 @@
 	Detail string
 	// RetryAfterSeconds is a hint for the Retry-After header; 0 means none.
 	RetryAfterSeconds int
+	// HoldsForKey means that Execution is about all attempts with the same
+	// Idempotency-Key and not only about this one.
+	HoldsForKey bool
 	// Addresses are ip:port pairs of daemons that may accept the request.
 	Addresses []string
 	cause     error
