Add single-writer duties with fencing tokens

Cause: placement must run on one daemon at a time, and a daemon that was paused must not act on a lease that has ended meanwhile.

Ruled out: reviving a lease by a late renewal after the local deadline. It would be safe, but a pause would then not always end with a new token.

A lost reply to the claim is settled by reading the key back. Tokens below an earlier one are refused.

--- /dev/null
+++ b/pkg/lease/holder_test.go
@@ -0,0 +1,380 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// memory is a store with leases on a fake clock.
+type memory struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	revision int64
+	nextID   int64
+	leases   map[int64]time.Time // end
+	ttl      time.Duration
+	entry    lease.Entry
+	owner    int64 // lease of the entry
+	lost     int   // number of writes whose reply is lost after they took effect
+	down     bool
+	grants   int
+	renewed  time.Time // when the last renewal was handled
+}
+
+func newMemory(clock clockwork.Clock) *memory {
+	return &memory{clock: clock, leases: make(map[int64]time.Time)}
+}
+
+func (m *memory) expire() {
+	for id, end := range m.leases {
+		if !m.clock.Now().Before(end) {
+			m.end(id)
+		}
+	}
+}
+
+func (m *memory) end(id int64) {
+	delete(m.leases, id)
+	if m.owner == id && m.entry.Revision != 0 {
+		m.revision++
+		m.entry = lease.Entry{}
+	}
+}
+
+// client is one holder's access; a paused one hangs like the calls of a
+// process that is stopped.
+type client struct {
+	*memory
+	paused  sync.RWMutex
+	replies sync.RWMutex // held for writing while replies to renewals are late
+}
+
+func (c *client) enter(ctx context.Context) (func(), error) {
+	c.paused.RLock()
+	c.paused.RUnlock() //nolint:staticcheck // waits until the pause ends
+	c.mu.Lock()
+	if err := ctx.Err(); err != nil || c.down {
+		c.mu.Unlock()
+		return nil, errors.New("unavailable")
+	}
+	c.expire()
+	return c.mu.Unlock, nil
+}
+
+func (c *client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	leave, err := c.enter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer leave()
+	c.grants++
+	c.nextID++
+	c.ttl = ttl
+	c.leases[c.nextID] = c.clock.Now().Add(ttl)
+	return c.nextID, nil
+}
+
+func (c *client) KeepAlive(ctx context.Context, id int64) (time.Duration, error) {
+	leave, err := c.enter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer func() {
+		leave()
+		c.replies.RLock()
+		c.replies.RUnlock() //nolint:staticcheck // waits until replies arrive again
+	}()
+	if _, ok := c.leases[id]; !ok {
+		return 0, lease.ErrExpired
+	}
+	c.renewed = c.clock.Now()
+	c.leases[id] = c.clock.Now().Add(c.ttl)
+	return c.ttl, nil
+}
+
+func (c *client) Revoke(ctx context.Context, id int64) error {
+	leave, err := c.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	c.end(id)
+	return nil
+}
+
+func (c *client) Get(ctx context.Context, _ string) (lease.Entry, error) {
+	leave, err := c.enter(ctx)
+	if err != nil {
+		return lease.Entry{}, err
+	}
+	defer leave()
+	return c.entry, nil
+}
+
+func (c *client) CompareAndSwap(ctx context.Context, _ string, revision int64, value []byte, id int64) (lease.Entry, bool, error) {
+	leave, err := c.enter(ctx)
+	if err != nil {
+		return lease.Entry{}, false, err
+	}
+	defer leave()
+	if c.entry.Revision != revision {
+		return c.entry, false, nil
+	}
+	if _, ok := c.leases[id]; !ok {
+		return lease.Entry{}, false, lease.ErrExpired
+	}
+	c.revision++
+	c.entry, c.owner = lease.Entry{Value: value, Revision: c.revision}, id
+	if c.lost > 0 {
+		c.lost--
+		return lease.Entry{}, false, errors.Wrap(lease.ErrOutcomeUnknown, "reply lost")
+	}
+	return c.entry, true, nil
+}
+
+type contest struct {
+	clock   *clockwork.FakeClock
+	store   *memory
+	clients []*client
+	holders []*lease.Holder
+	highest int64 // highest token seen
+	owner   int   // holder with that token
+	pauses  []bool
+	stop    func()
+}
+
+// pause stops or resumes the store access of a holder.
+func (c *contest) pause(i int, on bool) {
+	if c.pauses[i] == on {
+		return
+	}
+	c.pauses[i] = on
+	if on {
+		c.clients[i].paused.Lock()
+	} else {
+		c.clients[i].paused.Unlock()
+	}
+}
+
+type failer interface{ Fatalf(string, ...any) }
+
+func newContest(size int, candidate func(int) bool) *contest {
+	c := &contest{clock: clockwork.NewFakeClock(), owner: -1, pauses: make([]bool, size)}
+	c.store = newMemory(c.clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range size {
+		access := &client{memory: c.store}
+		holder := lease.New(lease.Config{
+			Backend: access, Clock: c.clock, Duty: "placement", Key: "k", DaemonID: fmt.Sprint(i),
+			Candidate: func() bool { return candidate == nil || candidate(i) },
+			Logger:    slog.New(slog.DiscardHandler),
+		})
+		c.clients, c.holders = append(c.clients, access), append(c.holders, holder)
+		running.Go(func() { _ = holder.Run(ctx) })
+	}
+	c.stop = func() {
+		cancel()
+		for i := range c.pauses {
+			c.pause(i, false)
+		}
+		running.Wait()
+	}
+	return c
+}
+
+// advance moves the clock in small steps and checks after each that at most
+// one holder is valid and that a new holder has a higher token.
+func (c *contest) advance(t failer, d time.Duration) {
+	const step = 400 * time.Millisecond
+	for range d / step {
+		c.clock.Advance(step)
+		time.Sleep(200 * time.Microsecond) // lets the holders run
+		c.check(t)
+	}
+}
+
+func (c *contest) check(t failer) {
+	valid := 0
+	for i, h := range c.holders {
+		token := h.Token()
+		if token == 0 {
+			continue
+		}
+		valid++
+		if token < c.highest || token == c.highest && i != c.owner {
+			t.Fatalf("holder %d has token %d after holder %d had %d", i, token, c.owner, c.highest)
+		}
+		c.highest, c.owner = token, i
+	}
+	if valid > 1 {
+		t.Fatalf("%d holders are valid", valid)
+	}
+}
+
+// until advances the clock until the condition holds.
+func (c *contest) until(t failer, limit time.Duration, condition func() bool) {
+	for elapsed := time.Duration(0); elapsed < limit; elapsed += time.Second {
+		if condition() {
+			return
+		}
+		c.advance(t, time.Second)
+	}
+	t.Fatalf("the condition didn't hold within %v", limit)
+}
+
+func (c *contest) held() bool { return c.current() >= 0 }
+
+func (c *contest) current() int {
+	for i, h := range c.holders {
+		if h.Valid() {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against a holder that still is valid on its first check after a
+// pause, and against a successor whose token isn't higher.
+func TestPausedHolder(t *testing.T) {
+	c := newContest(2, nil)
+	defer c.stop()
+	c.until(t, time.Minute, c.held)
+	first := c.current()
+	token := c.holders[first].Token()
+	c.pause(first, true)
+	c.clock.Advance(lease.DefaultTTL) // the first check after the wake
+	if c.holders[first].Valid() || c.holders[first].Token() != 0 {
+		t.Error("the paused holder is valid after its lease ended")
+	}
+	c.until(t, time.Minute, func() bool { return c.holders[1-first].Valid() })
+	c.pause(first, false)
+	c.advance(t, 10*time.Second)
+	if next := c.holders[1-first].Token(); next <= token {
+		t.Errorf("token %d of the successor isn't above %d", next, token)
+	}
+}
+
+// Guards against a deadline that counts from the arrival of a late reply.
+func TestDeadlineCountsFromTheRequest(t *testing.T) {
+	c := newContest(1, nil)
+	defer c.stop()
+	c.until(t, time.Minute, c.held)
+	access, began := c.clients[0], c.clock.Now()
+	lastRenewal := func() time.Time {
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		return c.store.renewed
+	}
+	access.replies.Lock()
+	c.until(t, lease.DefaultTTL, func() bool { return lastRenewal().After(began) })
+	c.pause(0, true) // no further renewals
+	c.advance(t, 4*time.Second)
+	access.replies.Unlock()
+	time.Sleep(10 * time.Millisecond) // lets the reply arrive
+	c.clock.Advance(lastRenewal().Add(lease.DefaultTTL - 100*time.Millisecond).Sub(c.clock.Now()))
+	if c.held() {
+		t.Error("valid 100 ms before the store ends the lease, without a margin")
+	}
+}
+
+// Guards against a lost reply to the claim that leaves the duty unheld, or that
+// is taken for success by the wrong daemon.
+func TestLostReplyIsSettledByReading(t *testing.T) {
+	c := newContest(2, nil)
+	defer c.stop()
+	c.store.lost = 1
+	c.until(t, 20*time.Second, c.held)
+	if c.store.grants != 1 {
+		t.Errorf("%d leases were granted", c.store.grants)
+	}
+}
+
+// Guards against two candidates that both become valid, under random pauses,
+// outages, lost replies and abandonments.
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newContest(2, nil)
+		defer c.stop()
+		for range rapid.IntRange(1, 15).Draw(t, "actions") {
+			i := rapid.IntRange(0, 1).Draw(t, "holder")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				c.pause(i, !c.pauses[i])
+			case 1:
+				c.store.mu.Lock()
+				c.store.down = !c.store.down
+				c.store.mu.Unlock()
+			case 2:
+				c.store.mu.Lock()
+				c.store.lost = 1
+				c.store.mu.Unlock()
+			case 3:
+				c.holders[i].Abandon()
+			}
+			c.advance(t, time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds"))*time.Second)
+		}
+		c.store.mu.Lock()
+		c.store.down = false
+		c.store.mu.Unlock()
+		for i := range c.holders {
+			c.pause(i, false)
+		}
+		c.until(t, time.Minute, c.held)
+	})
+}
+
+// Guards against a storm of 420 daemons on the store, and against campaigns of
+// daemons that are no candidates.
+func TestFewDaemonsCampaign(t *testing.T) {
+	c := newContest(420, func(i int) bool { return i < lease.DefaultCandidates })
+	defer c.stop()
+	c.until(t, time.Minute, c.held)
+	c.advance(t, 20*time.Second)
+	if c.store.grants > lease.DefaultCandidates {
+		t.Errorf("%d leases were granted", c.store.grants)
+	}
+}
+
+// Guards against a store that came back with old data and hands out tokens
+// that were used before.
+func TestLowerTokenIsRefused(t *testing.T) {
+	c := newContest(1, nil)
+	defer c.stop()
+	c.store.revision = 1000
+	c.until(t, time.Minute, c.held)
+	c.store.mu.Lock()
+	c.store.revision, c.store.entry = int64(rand.IntN(900)), lease.Entry{}
+	clear(c.store.leases)
+	c.store.mu.Unlock()
+	c.until(t, time.Minute, func() bool { return !c.held() })
+	c.advance(t, time.Minute)
+	if c.held() {
+		t.Errorf("token %d is below an earlier one", c.holders[0].Token())
+	}
+}
+
+// Guards against a duty that stays blocked after a planned stop.
+func TestStopReleasesTheDuty(t *testing.T) {
+	c := newContest(1, nil)
+	c.until(t, time.Minute, c.held)
+	c.stop()
+	if c.held() || c.store.entry.Revision != 0 {
+		t.Error("the duty is still held")
+	}
+}
