Add the caller library

Cause: callers need address lookup, order keys and stream resumption without writing them themselves. Change: pkg/client with Call, Order and Stream.

--- /dev/null
+++ b/pkg/client/transport.go
@@ -0,0 +1,218 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	hertz "github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+const problemType = "application/problem+json"
+
+// transport sends single attempts. hertz repeats GET, PUT and DELETE requests
+// when a pooled connection was closed, and has no switch for that. Requests
+// that carry an Idempotency-Key therefore use connections of their own.
+type transport struct {
+	options *Options
+	pooled  *hertz.Client
+	single  *hertz.Client
+}
+
+// dialError means that no byte of the request was sent.
+type dialError struct{ error }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.error }
+
+func newTransport(o *Options) (*transport, error) {
+	dialer := standard.NewDialer()
+	dial := func(address string) (network.Conn, error) {
+		conn, err := dialer.DialConnection("tcp", address, o.DialTimeout, nil)
+		if err != nil {
+			return nil, &dialError{err}
+		}
+		return conn, nil
+	}
+	t := &transport{options: o}
+	for keepAlive, target := range map[bool]**hertz.Client{true: &t.pooled, false: &t.single} {
+		c, err := hertz.NewClient(
+			hertz.WithResponseBodyStream(true),
+			hertz.WithKeepAlive(keepAlive),
+			hertz.WithDialer(dialer),
+			hertz.WithDialFunc(dial, dialer),
+			hertz.WithNoDefaultUserAgentHeader(true),
+			hertz.WithDisablePathNormalizing(true),
+		)
+		if err != nil {
+			return nil, errors.Wrap(err, "create HTTP client")
+		}
+		*target = c
+	}
+	return t, nil
+}
+
+func (t *transport) close() {
+	t.pooled.CloseIdleConnections()
+	t.single.CloseIdleConnections()
+}
+
+// call sends one attempt and reads the whole reply. A problem document of a
+// daemon is returned as *result.Error, any other failure as another error.
+func (t *transport) call(ctx context.Context, address string, r *Request) (*Response, error) {
+	raw, err := t.open(ctx, address, r, timeLeft(ctx, t.options.Timeout))
+	if err != nil {
+		return nil, err
+	}
+	return t.read(ctx, address, r, raw)
+}
+
+type opened struct {
+	raw *protocol.Response
+	err error
+}
+
+// open sends one attempt and returns when the reply's header has arrived. It
+// runs hertz in a goroutine, since hertz does not stop when ctx ends; the
+// connection is then closed when the reply arrives or the read timeout ends.
+func (t *transport) open(ctx context.Context, address string, r *Request, readTimeout time.Duration) (*protocol.Response, error) {
+	request := t.build(ctx, address, r)
+	request.SetOptions(config.WithReadTimeout(readTimeout), config.WithWriteTimeout(readTimeout))
+	client := t.pooled
+	if r.IdempotencyKey != "" {
+		client = t.single
+	}
+	done := make(chan opened, 1)
+	go func() {
+		raw := &protocol.Response{}
+		done <- opened{raw, client.Do(context.WithoutCancel(ctx), request, raw)}
+	}()
+	select {
+	case o := <-done:
+		return o.raw, errors.Wrapf(o.err, "request to %s", address)
+	case <-ctx.Done():
+		go func() {
+			if o := <-done; o.err == nil {
+				forceClose(o.raw)
+			}
+		}()
+		return nil, errors.Wrapf(ctx.Err(), "request to %s", address)
+	}
+}
+
+func (t *transport) build(ctx context.Context, address string, r *Request) *protocol.Request {
+	request := &protocol.Request{}
+	request.SetRequestURI("http://" + address + r.Path)
+	request.SetMethod(r.Method)
+	for name, values := range r.Header {
+		for _, value := range values {
+			request.Header.Add(name, value)
+		}
+	}
+	request.Header.Set(headerRequestID, r.RequestID)
+	if t.options.Key != "" {
+		request.Header.Set(headerAuthorization, "Bearer "+t.options.Key)
+	}
+	if r.IdempotencyKey != "" {
+		request.Header.Set(headerIdempotencyKey, r.IdempotencyKey)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(headerDeadline, deadline.UTC().Format(time.RFC3339Nano))
+	}
+	if len(r.Body) > 0 {
+		request.SetBody(r.Body)
+	}
+	return request
+}
+
+// read reads the body. The connection is closed if ctx ends or the body is cut.
+func (t *transport) read(ctx context.Context, address string, r *Request, raw *protocol.Response) (*Response, error) {
+	stop := context.AfterFunc(ctx, func() { forceClose(raw) })
+	defer stop()
+	var body []byte
+	var err error
+	if raw.IsBodyStream() {
+		body, err = io.ReadAll(io.LimitReader(raw.BodyStream(), int64(t.options.MaxBodyBytes)+1))
+	} else {
+		body = raw.Body()
+	}
+	if err == nil && len(body) > t.options.MaxBodyBytes {
+		err = errors.Errorf("the body exceeds %d bytes", t.options.MaxBodyBytes)
+	}
+	if err != nil {
+		forceClose(raw)
+		return nil, errors.Wrapf(err, "reply of %s", address)
+	}
+	_ = raw.CloseBodyStream()
+	response := &Response{
+		Status: raw.StatusCode(), Header: make(http.Header), Body: body, Execution: result.Ran,
+		RequestID: r.RequestID, IdempotencyKey: r.IdempotencyKey, Address: address,
+	}
+	raw.Header.VisitAll(func(name, value []byte) { response.Header.Add(string(name), string(value)) })
+	if problem := parseProblem(response); problem != nil {
+		return nil, problem
+	}
+	return response, nil
+}
+
+// forceClose closes the connection below a streamed body, which may be read
+// by another goroutine.
+func forceClose(raw *protocol.Response) {
+	if !raw.IsBodyStream() {
+		return
+	}
+	if s, ok := raw.BodyStream().(interface{ ForceClose() error }); ok {
+		_ = s.ForceClose()
+	}
+}
+
+type problem struct {
+	Code      *int     `json:"code"`
+	Execution string   `json:"execution"`
+	Detail    string   `json:"detail"`
+	Addresses []string `json:"addresses"`
+}
+
+// parseProblem returns the error in a problem document of a daemon. Upstreams
+// may send problem documents too; those have no code and execution state.
+func parseProblem(r *Response) *result.Error {
+	if !strings.HasPrefix(r.Header.Get(headerContentType), problemType) {
+		return nil
+	}
+	e := decodeProblem(r.Body)
+	if e == nil {
+		return nil
+	}
+	e.RetryAfterSeconds, _ = strconv.Atoi(r.Header.Get(headerRetryAfter))
+	return e
+}
+
+func decodeProblem(body []byte) *result.Error {
+	var p problem
+	if err := json.Unmarshal(body, &p); err != nil || p.Code == nil {
+		return nil
+	}
+	switch x := result.Execution(p.Execution); x {
+	case result.NotRun, result.Ran, result.Unknown:
+		return result.New(result.Code(*p.Code), x, "%s", p.Detail).WithAddresses(p.Addresses)
+	}
+	return nil
+}
+
+func timeLeft(ctx context.Context, limit time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(limit, time.Until(deadline))
+	}
+	return limit
+}
