--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -61,6 +61,7 @@
 	// the sample arrived.
 	own      float64
 	inFlight int
+	at       int64 // At in Unix nanoseconds
 }
 
 // NewCandidate returns a candidate without load, limit or notice, with health
@@ -107,7 +108,7 @@
 // SetHealthWeight sets the share of its normal traffic that the upstream
 // should get, from 0 (ejected) to 1.
 func (c *Candidate) SetHealthWeight(weight float64) {
-	c.weight.Store(math.Float64bits(math.Max(0, math.Min(1, weight))))
+	c.weight.Store(math.Float64bits(max(0, min(1, weight))))
 }
 
 // HealthWeight returns the weight set by SetHealthWeight.
@@ -120,10 +121,10 @@
 func (c *Candidate) SetReportedLoad(l Load) { c.store(&c.report, l) }
 
 func (c *Candidate) store(p *atomic.Pointer[loadSample], l Load) {
-	next := &loadSample{Load: l, own: c.OwnWork(), inFlight: c.InFlight()}
+	next := &loadSample{Load: l, own: c.OwnWork(), inFlight: c.InFlight(), at: l.At.UnixNano()}
 	for {
 		old := p.Load()
-		if old != nil && l.At.Before(old.At) {
+		if old != nil && next.at < old.at {
 			return
 		}
 		if p.CompareAndSwap(old, next) {
@@ -135,7 +136,7 @@
 // latest returns the newer of the reply's load and the report, or nil.
 func (c *Candidate) latest() *loadSample {
 	reply, report := c.reply.Load(), c.report.Load()
-	if reply == nil || (report != nil && report.At.After(reply.At)) {
+	if reply == nil || (report != nil && report.at > reply.at) {
 		return report
 	}
 	return reply
--- a/pkg/routing/filter_limit.go
+++ b/pkg/routing/filter_limit.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"math"
-
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 )
 
@@ -26,5 +24,5 @@
 	if limit <= 0 {
 		return true
 	}
-	return used < int64(math.Max(1, math.Floor(float64(limit)*c.HealthWeight())))
+	return used < max(1, int64(float64(limit)*c.HealthWeight()))
 }
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -18,7 +18,9 @@
 	request  Request // backs Request without an allocation per pick
 	rate     float64
 	others   [fits]float64 // mean work of the other daemons per candidate, by class fit
-	waits    []float64
+	now      int64         // Now in Unix nanoseconds
+	samples  []*loadSample // of each eligible candidate
+	waits    []float64     // of each eligible candidate
 	scorers  []WeightedScorer
 	holders  []holder
 	selected []*Candidate
@@ -30,6 +32,8 @@
 	clear(v.selected)
 	v.request, v.Request = Request{}, nil
 	v.Eligible, v.selected = v.Eligible[:0], v.selected[:0]
+	clear(v.samples)
+	v.samples = v.samples[:0]
 	v.holders, v.ranks, v.waits = v.holders[:0], v.ranks[:0], v.waits[:0]
 }
 
@@ -45,19 +49,17 @@
 	if len(v.Eligible) == 0 {
 		return
 	}
+	v.now = v.Now.UnixNano()
 	v.summariseOthers()
-	n := float64(len(v.Eligible))
-	for _, c := range v.Eligible {
-		wait := v.Wait(c)
-		v.waits = append(v.waits, wait)
-		v.MeanWait += wait
-	}
-	v.MeanWait /= n
 	for i, c := range v.Eligible {
-		if v.full(c) {
-			v.waits[i] = math.Inf(1)
+		wait := v.wait(c, v.samples[i])
+		v.MeanWait += wait
+		if full(c, v.samples[i]) {
+			wait = math.Inf(1)
 		}
+		v.waits = append(v.waits, wait)
 	}
+	v.MeanWait /= float64(len(v.Eligible))
 }
 
 // summariseOthers computes the mean work of the other daemons. Upstreams meant
@@ -66,9 +68,11 @@
 	var counts [fits]float64
 	v.others = [fits]float64{}
 	for _, c := range v.Eligible {
-		if s := c.latest(); s != nil {
+		s := c.latest()
+		v.samples = append(v.samples, s)
+		if s != nil {
 			fit := classFit(v.Request.Class, c)
-			v.others[fit] += math.Max(0, s.Work-s.own)
+			v.others[fit] += max(0, s.Work-s.own)
 			counts[fit]++
 		}
 	}
@@ -83,8 +87,7 @@
 
 // full reports whether the upstream has few free slots. Work alone doesn't
 // show that, because generating requests have no work left.
-func (v *View) full(c *Candidate) bool {
-	s := c.latest()
+func full(c *Candidate, s *loadSample) bool {
 	if s == nil || s.Slots <= 0 {
 		return false
 	}
@@ -99,13 +102,15 @@
 // seconds. This daemon's own work is exact. The work of others comes from the
 // latest load sample and fades into the mean of the set with the sample's age,
 // so that daemons with equally stale samples don't chase the same minimum.
-func (v *View) Wait(c *Candidate) float64 {
+func (v *View) Wait(c *Candidate) float64 { return v.wait(c, c.latest()) }
+
+func (v *View) wait(c *Candidate, s *loadSample) float64 {
 	mean := v.others[classFit(v.Request.Class, c)]
 	others := mean
-	if s := c.latest(); s != nil {
-		age := math.Max(0, float64(v.Now.Sub(s.At))/float64(loadLifetime))
+	if s != nil {
+		age := float64(max(0, v.now-s.at)) / float64(loadLifetime)
 		trust := 1 / (1 + age*age)
-		others = trust*math.Max(0, s.Work-s.own) + (1-trust)*mean
+		others = trust*max(0, s.Work-s.own) + (1-trust)*mean
 	}
 	weight := math.Max(c.HealthWeight(), 0.01)
 	return (others + c.OwnWork()) / (v.Rate(c) * weight)
