--- a/test/bench/policy/mixes.go
+++ b/test/bench/policy/mixes.go
@@ -65,6 +65,9 @@
 	if other := results[perfectTime].RecomputedPct; other < best {
 		perfect, best = perfectTime, other
 	}
+	if best == 0 {
+		perfect = "" // no ratio to 0; the bound is 0
+	}
 	check(name("recomputed prompt tokens"), ours.RecomputedPct, recomputeBound*best, "%",
 		ratio(ours.RecomputedPct, best), perfect)
 	r.info(name("cost per 1000 requests"), 1000*ours.CostPerRequest, "", ours.CostPerRequest/rr.CostPerRequest, roundRobin)
