Report an order as unknown while a daemon has no configuration

Cause: a daemon without configuration answered 'unauthenticated, not run' to a key that another daemon had run. Change: it answers 'draining' with other addresses, and 'unknown' to orders.

--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -55,9 +55,22 @@
 	if equalHash(hash, s.options.BootstrapKeyHash) {
 		return proxy.Caller{Account: bootstrapAccount, Spec: &object.ClientAccount{Role: object.RoleOperator}}, nil
 	}
+	if s.options.Config.Current().Revision == 0 {
+		return proxy.Caller{}, s.withAddresses(notConfigured(c))
+	}
 	return proxy.Caller{}, result.New(result.Unauthenticated, result.NotRun, "header Authorization: the key is unknown")
 }
 
+// notConfigured refuses a request while no client account is known. An order
+// with the same key may have run on another daemon.
+func notConfigured(c *app.RequestContext) error {
+	execution := result.NotRun
+	if len(c.GetHeader(headerOrderKey)) > 0 {
+		execution = result.Unknown
+	}
+	return result.New(result.Draining, execution, "the daemon has no configuration yet")
+}
+
 // holds compares in constant time; the index lookup before it only sees the
 // hash, from which the key can't be derived.
 func holds(spec *object.ClientAccount, hash string) bool {
