--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -33,3 +33,15 @@
 
 // sleepUntil waits for a moment of a test's schedule.
 func sleepUntil(at time.Time) { time.Sleep(time.Until(at)) }
+
+// daemonsIn splits the daemons by data centre.
+func daemonsIn(c *harness.Cluster, dataCentre string) (inside, outside []*harness.Daemon) {
+	for _, d := range c.Daemons {
+		if d.DataCentre == dataCentre {
+			inside = append(inside, d)
+		} else {
+			outside = append(outside, d)
+		}
+	}
+	return inside, outside
+}
--- a/test/harness/order.go
+++ b/test/harness/order.go
@@ -175,3 +175,34 @@
 	c.T.Logf("orders: %+v, share of unknown %.3f", figures, figures.UnknownShare())
 	return figures
 }
+
+// placeAttempts bounds the attempts of PlaceOrder.
+const (
+	placeAttempts = 10
+	placePause    = 200 * time.Millisecond
+)
+
+// PlaceOrder places an order as a caller does: it asks for a token, and sends
+// the same key again to the next daemon as long as the order did not run. The
+// answer is that of the last attempt.
+func (c *Cluster) PlaceOrder(daemons ...*Daemon) OrderAnswer {
+	var answer OrderAnswer
+	first := c.Random(len(daemons))
+	for i := range placeAttempts {
+		d := daemons[(first+i)%len(daemons)]
+		if answer.Key == "" {
+			token, err := c.Token(d)
+			if err != nil {
+				answer = OrderAnswer{Daemon: d.Name, Execution: result.NotRun, Err: err}
+				continue
+			}
+			answer.Key = KeyOf(token)
+		}
+		answer = c.Order(d, answer.Key)
+		if answer.Execution == result.Ran || answer.Execution == result.Unknown {
+			return answer
+		}
+		time.Sleep(placePause)
+	}
+	return answer
+}
