--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -56,11 +56,16 @@
 		return proxy.Caller{Account: bootstrapAccount, Spec: &object.ClientAccount{Role: object.RoleOperator}}, nil
 	}
 	if s.options.Config.Current().Revision == 0 {
-		return proxy.Caller{}, result.New(result.StoreUnavailable, result.NotRun, "the daemon has no configuration yet").WithRetryAfter(1)
+		return proxy.Caller{}, s.withAddresses(notConfigured())
 	}
 	return proxy.Caller{}, result.New(result.Unauthenticated, result.NotRun, "header Authorization: the key is unknown")
 }
 
+// notConfigured refuses a request while no client account is known.
+func notConfigured() error {
+	return result.New(result.Draining, result.NotRun, "the daemon has no configuration yet")
+}
+
 // holds compares in constant time; the index lookup before it only sees the
 // hash, from which the key can't be derived.
 func holds(spec *object.ClientAccount, hash string) bool {
