--- a/internal/apiclient/stream.go
+++ b/internal/apiclient/stream.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/eventstream"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
@@ -66,7 +67,19 @@
 		end.Resumptions++
 		err = c.resume(ctx, addresses, resume, &end, f, err)
 	}
-	return end, err
+	return end, coded(ctx, err)
+}
+
+// coded gives an error of the connection a result code.
+func coded(ctx context.Context, err error) error {
+	var handler *handlerError
+	switch {
+	case err == nil || isAnswer(err) || errors.As(err, &handler):
+		return err
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Wrap(err, result.DeadlineExceeded, result.Unknown, "the stream did not end in time")
+	}
+	return result.Wrap(err, result.PeerUnreachable, result.Unknown, "the stream broke and was not resumed")
 }
 
 // resume tries every address once. It returns the last error, or previous if
@@ -89,16 +102,20 @@
 // again as long as no event of it was received.
 func (c *Client) firstStream(ctx context.Context, addresses []string, r Request, end *StreamEnd, f func(Event) error) error {
 	err := error(result.New(result.BadRequest, result.NotRun, "no daemon address"))
+	execution := result.NotRun
 	for _, address := range addresses {
 		err = c.stream(ctx, address, r, end, f)
 		if err == nil || end.RequestID != "" || isAnswer(err) && result.CodeOf(err) != result.Draining {
 			return err
 		}
+		if !isAnswer(err) && !errors.Is(err, ErrNotConnected) {
+			execution = result.Unknown
+		}
 	}
-	if isAnswer(err) {
+	if isAnswer(err) || ctx.Err() != nil {
 		return err
 	}
-	return result.Wrap(err, result.PeerUnreachable, result.Unknown, "no daemon answered")
+	return result.Wrap(err, result.PeerUnreachable, execution, "no daemon answered")
 }
 
 // resumable reports whether a stream that ended with err may continue. A
@@ -152,12 +169,8 @@
 	if id := resp.Header.Get("X-Request-Id"); id != "" {
 		end.RequestID = id
 	}
-	reader, err := sse.NewReader(resp)
+	err := eventstream.Read(ctx, resp, maxEventBytes, func(e *sse.Event) error { return end.receive(e, f) })
 	if err != nil {
-		return errors.Wrap(err, "read stream")
-	}
-	reader.SetMaxBufferSize(maxEventBytes)
-	if err := reader.ForEach(ctx, func(e *sse.Event) error { return end.receive(e, f) }); err != nil {
 		return err
 	}
 	if !end.Whole {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,8 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/gossip"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/handover"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/moves"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/orders"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/proxy"
@@ -66,7 +68,10 @@
 	ledger    *order.Ledger
 	executor  *orders.Executor
 	cloud     cloud.Provider // nil without a cloud API
+	keeper    *handover.Keeper
+	rings     rings
 	proxy     *proxy.Proxy
+	moves     *moves.Manager
 	server    *server.Server
 	calls     *ants.Pool
 	runner    *duty.Runner
@@ -83,9 +88,9 @@
 func New(s *settings.Settings, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, clock: clockwork.NewRealClock(), log: log.With("daemon", s.Daemon.Name),
-		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}),
+		id: s.Daemon.Name + "-" + uuid.NewString()[:8], drained: make(chan struct{}), rings: newRings(),
 	}
-	steps := []func() error{d.buildStore, d.buildPeers, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
+	steps := []func() error{d.buildStore, d.buildPeers, d.buildMoves, d.buildUpstreams, d.buildOrders, d.buildProxy, d.buildServer}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -132,6 +137,7 @@
 		Broadcaster: broadcaster{d.gossip, d.log},
 		Watches:     func() bool { return d.gossip.Overlay().WatchesStore(d.id) },
 		FetchPeer:   d.peerAhead,
+		Verdicts:    d.verdicts, OnVerdicts: d.onVerdicts,
 	})
 	d.operator = config.NewOperator(d.config)
 	return nil
@@ -173,7 +179,7 @@
 		d.cloud = cloud.NewHTTP(client, d.settings.Platform.CloudAddress, cloudTimeout)
 	}
 	d.app = app.NewHTTP(client, int64(d.settings.Limits.MaxStreamBytes))
-	d.checker = upstreamhttp.Checker{Client: client, Path: "/healthz"}
+	d.checker = upstreamhttp.Checker{Client: client, Path: "/health"}
 	d.directory = upstreams.New(upstreams.Options{
 		Clock: d.clock, Self: d.id, DataCentre: d.settings.Daemon.DataCentre,
 		SubsetSize: d.settings.Upstreams.SubsetSize,
@@ -219,17 +225,19 @@
 		return errors.Wrap(err, "create pool of upstream calls")
 	}
 	d.calls = calls
-	d.proxy = proxy.New(proxy.Options{
+	d.keeper = handover.NewKeeper(d.clock, handover.DefaultLimits(), d.takeOverStream)
+	d.proxy, err = proxy.New(proxy.Options{
 		Clock: d.clock, Log: d.log, Directory: d.directory, Admission: d.admission,
-		Versions: &proxy.RouteVersions{Config: d.config.Current},
+		Versions: &proxy.RouteVersions{Config: d.config.Current, Moves: d.moves},
 		Engine:   d.engine, App: d.app, Orders: &orderAdapter{d}, Config: d.config.Current,
-		Observe: func(proxy.Observation) {}, Calls: d.calls,
+		Observe: d.moves.Observe, Calls: d.calls,
+		Records: d.keeper, Accounts: d.callerOf,
 		RequestTimeout: d.settings.Limits.RequestTimeout, FirstByteTimeout: d.settings.Upstreams.FirstByteTimeout,
 		TokenTimeout: d.settings.Upstreams.TokenTimeout, MigrationDeadline: d.settings.Upstreams.MigrationDeadline,
 		ResumeWindow: d.settings.Limits.ResumeWindow, MaxStreamBytes: d.settings.Limits.MaxStreamBytes,
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes,
 	})
-	return nil
+	return err
 }
 
 func (d *Daemon) buildServer() error {
@@ -242,17 +250,15 @@
 	d.grpc = grpc.NewServer(peer.ServerOptions()...)
 	peerv1.RegisterPeerServer(d.grpc, &peer.Service{
 		GossipHandler: d.gossip, ConfigHandler: d.config,
-		OrderHandler: d.executor, StreamHandler: notServed{}, EvidenceHandler: notServed{},
+		OrderHandler: d.executor, StreamHandler: d.keeper, EvidenceHandler: d.moves,
 	})
 	return nil
 }
 
-// notServed answers calls whose handler this build lacks.
-type notServed struct{ peerv1.UnimplementedPeerServer }
-
 // connect joins the parts that call each other.
 func (d *Daemon) connect() {
 	d.config.Subscribe(d.onSnapshot)
+	d.config.Subscribe(d.moves.OnSnapshot)
 	d.gossip.OnItem(d.onItem)
 	d.gossip.OnLag(func(_ string, revision int64) { d.config.NoteRevision(revision) })
 	d.gossip.OnMembers(func(members []membership.Member) { d.budget.SetDaemons(alive(members)) })
@@ -291,6 +297,8 @@
 		d.config.HandleItem(item)
 	case *peerv1.Item_UpstreamNotice:
 		d.onUpstreamNotice(kind.UpstreamNotice)
+	case *peerv1.Item_Verdict:
+		d.moves.HandleItem(item)
 	}
 }
 
@@ -342,7 +350,11 @@
 		{Name: "config-settle", Run: d.config.RunSettler},
 		{Name: "health", Run: monitor.RunChecks},
 		{Name: "capacity", Run: d.runCapacity},
+		{Name: "moves", Run: d.moves.Run},
 		{Name: "request-sweep", Run: d.proxy.RunSweep},
+		{Name: "notice-share", Run: d.runNoticeShare},
+		{Name: "takeovers", Run: d.runTakeovers},
+		{Name: "audit-trim", Run: d.runAuditTrim},
 		{Name: "peer-connections", Run: d.runPeerConnections},
 	}
 	if d.cloud != nil {
@@ -364,9 +376,26 @@
 	d.gossip.Leave(ctx)
 	cancel()
 	d.grpc.Stop()
-	d.runner.Wait()
+	d.waitDuties()
 	d.calls.Release()
 	d.pool.Close()
 	_ = d.store.Close()
 	d.log.Info("daemon stopped")
 }
+
+// dutyStopTimeout bounds the wait for duties at the exit. An HTTP call does
+// not end with its context; a long poll for notices takes up to noticePoll.
+const dutyStopTimeout = time.Second
+
+func (d *Daemon) waitDuties() {
+	ended := make(chan struct{})
+	go func() {
+		d.runner.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-d.clock.After(dutyStopTimeout):
+		d.log.Debug("exit with duties in a call")
+	}
+}
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/operatorapi"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/health"
@@ -88,14 +87,6 @@
 	}
 }
 
-// MoveProgress implements server.Daemon.
-func (d *Daemon) MoveProgress(s config.MoveStatus) operatorapi.MoveStatus {
-	return operatorapi.MoveStatus{
-		Name: s.Name, Service: s.Spec.Service, From: s.Spec.From, To: s.Spec.To, State: s.State,
-		Deadline: s.Spec.Deadline, Generation: s.Generation, Evidence: s.Evidence, MeasuredPercent: -1,
-	}
-}
-
 // DrainUpstream implements server.Daemon.
 func (d *Daemon) DrainUpstream(name string, notice time.Duration) error {
 	spec, _, ok := object.Lookup[*object.Upstream](d.config.Current().Set, object.KindUpstream, name)
@@ -127,16 +118,38 @@
 	d.fire("drain")
 	d.gossip.BeginLeave(ctx)
 	d.proxy.BeginDrain()
-	d.handOverOrders(ctx)
-	d.fire("handed_over")
-	err := d.proxy.WaitIdle(ctx)
-	if err == nil {
-		err = d.waitOrders(ctx)
+	copier := newStreamCopier(d)
+	defer copier.stop()
+	if err := copier.start(ctx); err != nil {
+		d.log.Warn("streams not copied", "error", err.Error())
 	}
-	if err != nil {
+	if !d.handOverOrders(ctx) {
+		d.log.Warn("orders stay frozen without a successor")
+	}
+	d.fire("handed_over")
+	if err := d.finishWork(ctx, copier); err != nil {
 		d.log.Warn("work unfinished at the end of the notice", "streams", d.proxy.Requests(), "orders", d.ledger.Unsettled())
 		d.fire("deadline")
 		return
 	}
 	d.fire("drained")
 }
+
+// moveReserve is the part of the notice that is kept for giving unfinished
+// streams to the peer, at most a quarter of it.
+const moveReserve = time.Second
+
+// finishWork waits for streams and orders and gives away what is left shortly
+// before the deadline.
+func (d *Daemon) finishWork(ctx context.Context, copier *streamCopier) error {
+	reserve := min(moveReserve, d.deadline.Sub(d.clock.Now())/4)
+	streams, cancel := context.WithDeadline(ctx, d.deadline.Add(-reserve))
+	defer cancel()
+	if err := d.proxy.WaitIdle(streams); err != nil {
+		copier.finish(ctx)
+		if err := d.proxy.WaitIdle(ctx); err != nil {
+			return err
+		}
+	}
+	return d.waitOrders(ctx)
+}
