Retry what was not sent, and first requests, when an upstream fails

Cause: while an upstream was dead or frozen, idempotent requests failed. With little traffic the retry budget was empty, also for attempts that no upstream had received; the budget of a service that a daemon had not served before gave no retry in its first 5 s; a lookup waited for its whole deadline on a frozen upstream, so that no time was left for a second attempt. Ruled out: ejection; short requests took at most 0.23 s from 5 s after the failure. Change: an attempt that was not sent is repeated without charge (at most three attempts as before); the quiet time before the first request of a service counts for the floor; a lookup attempt is bounded by first_byte_timeout.

--- a/internal/proxy/appflow.go
+++ b/internal/proxy/appflow.go
@@ -149,7 +149,7 @@
 	}
 	reply, outcome, err := p.options.App.Call(ctx, app.Call{
 		Address: upstream.Address, AttemptID: newID(), Method: r.call.Method, Path: r.call.Path,
-		Headers: r.upstreamHeaders(), Body: r.call.Body, Timeout: r.call.Deadline.Sub(p.options.Clock.Now()),
+		Headers: r.upstreamHeaders(), Body: r.call.Body, Timeout: r.attemptTimeout(),
 	})
 	if outcome == app.Answered {
 		upstream.FirstByte()
@@ -160,6 +160,16 @@
 	return reply, outcome, err
 }
 
+// attemptTimeout bounds one attempt. That of a lookup leaves time for another
+// one; an order has only one attempt and waits for its outcome.
+func (r *appRun) attemptTimeout() time.Duration {
+	rest := r.call.Deadline.Sub(r.proxy.options.Clock.Now())
+	if r.operation.Idempotent && r.proxy.options.FirstByteTimeout > 0 {
+		return min(rest, r.proxy.options.FirstByteTimeout)
+	}
+	return rest
+}
+
 func (r *appRun) pick(ctx context.Context) (*upstreams.Attempt, error) {
 	request := routing.Request{
 		Service: r.call.Service, Version: r.choice.Version, Class: object.ClassShort,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -127,14 +127,15 @@
 func (p *Proxy) policyOf(service string, spec *object.Service) *servicePolicy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if existing := p.policies[service]; existing != nil && existing.spec == spec {
+	existing := p.policies[service]
+	if existing != nil && existing.spec == spec {
 		return existing
 	}
 	ratio := float64(spec.RetryPercent) / 100
 	if spec.RetryPercent == 0 {
 		ratio = retry.MaxRatio
 	}
-	budget := retry.NewBudget(retry.BudgetConfig{Clock: p.options.Clock, Ratio: ratio})
+	budget := retry.NewBudget(retry.BudgetConfig{Clock: p.options.Clock, Ratio: ratio, Quiet: existing == nil})
 	created := &servicePolicy{spec: spec, budget: budget, policy: retry.NewPolicy(
 		retry.PolicyConfig{Clock: p.options.Clock, HedgeAfter: time.Duration(spec.HedgeAfter)}, budget)}
 	p.policies[service] = created
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -26,6 +26,9 @@
 	Floor float64
 	// Burst bounds the retries saved up in quiet times.
 	Burst float64
+	// Quiet means that there was no load before the budget was made, so that
+	// the floor applies at once.
+	Quiet bool
 }
 
 const (
@@ -83,7 +86,11 @@
 	}
 	config.Floor = max(0, config.Floor)
 	now := config.Clock.Now()
-	return &Budget{config: config, floor: config.Floor, refill: now, rateAt: now, lowSince: now}
+	b := &Budget{config: config, floor: config.Floor, refill: now, rateAt: now, lowSince: now}
+	if config.Quiet {
+		b.lowSince = now.Add(-rateWindow)
+	}
+	return b
 }
 
 // Offer counts the first attempt of a request.
--- a/pkg/retry/policy.go
+++ b/pkg/retry/policy.go
@@ -90,7 +90,8 @@
 // OrderOutcomeUnknown for a non-idempotent request that may have run,
 // UpstreamIncomplete for an emitted response that can't be resumed,
 // UpstreamFailed after the last attempt, DeadlineExceeded if too little time is
-// left, RetryBudgetSpent. Its execution state is that of attempt a.
+// left, RetryBudgetSpent. Repeating an attempt that was not sent is not charged
+// to the budget. Its execution state is that of attempt a.
 func (p *Policy) Next(a Attempt) (time.Duration, error) {
 	execution := a.Execution()
 	if execution != result.NotRun && !a.Idempotent {
@@ -109,7 +110,9 @@
 		return 0, result.New(result.DeadlineExceeded, execution,
 			"too little time is left for attempt %d", a.Number+1)
 	}
-	if !p.budget.Take() {
+	// An attempt that was never sent put no load on an upstream, so that its
+	// repetition is not a retry in the sense of the budget.
+	if (a.BytesWritten || a.Refused) && !p.budget.Take() {
 		return 0, result.New(result.RetryBudgetSpent, execution,
 			"attempt %d failed and the retry budget is spent", a.Number).WithRetryAfter(1)
 	}
