Let daemons earn retries before upstreams fail

Cause: TestFrozenAndDeadUpstreams began the load and the failure at once, so that the daemons had no retry budget, which section 8 of the design allows to refuse retries. Change: the load runs for 4 s before the failure and is twice as high; the checks are unchanged.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -16,6 +16,9 @@
 const (
 	faultTokens = 30
 	faultCalls  = 40 // of each kind and fault
+	// budgetTime lets the daemons earn retries: each daemon gets at least five
+	// requests a second, which earn one retry a second.
+	budgetTime = 4 * time.Second
 )
 
 // engineFaults are the ways in which an engine spoils a reply. A third of the
@@ -143,7 +146,8 @@
 func TestFrozenAndDeadUpstreams(t *testing.T) {
 	t.Parallel()
 	c := harness.New(t, harness.Options{Apps: 2})
-	load := c.StartLoad(6, c.Daemons...)
+	load := c.StartLoad(12, c.Daemons...)
+	time.Sleep(budgetTime)
 	frozen, dead := c.EnginesIn("dc1")[0], c.EnginesIn("dc2")[0]
 	frozen.Faults().Put(fault.Faults{Freeze: true})
 	c.Apps[0].Faults().Put(fault.Faults{Freeze: true})
