Add failure tests of stops with long streams and of killed data centres

Cause: no test stopped daemons one after another under long streams, or killed a data centre during its notice. Change: TestStopWithLongStreams and TestDataCentreKilledDuringNotice.

--- a/test/e2e/datacentre_test.go
+++ b/test/e2e/datacentre_test.go
@@ -152,6 +152,59 @@
 	}
 }
 
+// A graceful stop that is shorter than the streams must hand them over (G7).
+func TestStopWithLongStreams(t *testing.T) {
+	for name, down := range map[string]store.Down{"store up": store.DownNone, "store down": store.DownHang} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := harness.New(t, harness.Options{Settings: map[string]string{"daemon.drain_timeout": "2s"}})
+			if down != store.DownNone {
+				storeDown(t, c, down)
+			}
+			first, second, others := c.Daemons[0], c.Daemons[1], c.Daemons[2:]
+			var chats []*harness.Chat
+			for i := range 16 {
+				d := []*harness.Daemon{first, second}[i%2]
+				chats = append(chats, c.StartChat(harness.ChatOptions{Tokens: longTokens}, append([]*harness.Daemon{d}, others...)...))
+			}
+			c.WaitTokens(5, chats...)
+			if err := first.Stop(); err != nil {
+				t.Error(err)
+			}
+			if err := second.Stop(); err != nil {
+				t.Error(err)
+			}
+			c.CheckChats(chats...)
+			if n := resumptions(chats...); n < len(chats) {
+				t.Errorf("%d resumptions of %d streams: the streams did not outlast the daemons", n, len(chats))
+			}
+		})
+	}
+}
+
+// All daemons of a data centre may be killed long before their notice ends: the
+// copies outside the data centre must continue the streams (G1).
+func TestDataCentreKilledDuringNotice(t *testing.T) {
+	t.Parallel()
+	c := harness.New(t, harness.Options{})
+	inside, outside := daemonsIn(c, "dc1")
+	var chats []*harness.Chat
+	for i := range 18 {
+		d := inside[i%len(inside)]
+		chats = append(chats, c.StartChat(harness.ChatOptions{Tokens: longTokens}, append([]*harness.Daemon{d}, outside...)...))
+	}
+	c.WaitTokens(5, chats...)
+	c.Cloud.Reclaim("", "dc1", true, leaveNotice)
+	time.Sleep(leaveNotice / 3)
+	for _, d := range inside {
+		d.Kill()
+	}
+	for _, e := range c.EnginesIn("dc1") {
+		e.Close()
+	}
+	c.CheckChats(chats...)
+}
+
 // A rolling restart under load must not fail a request, cut a stream or run an
 // order twice (G7).
 func TestRollingRestart(t *testing.T) {
