--- a/pkg/membership/apply.go
+++ b/pkg/membership/apply.go
@@ -11,10 +11,11 @@
 func (l *List) Request(daemonID string) Message {
 	l.mu.Lock()
 	defer l.unlock()
-	full := l.mismatches[daemonID] >= mismatchLimit &&
+	c := l.contacts[daemonID]
+	full := c != nil && c.mismatches >= mismatchLimit &&
 		l.clock.Since(l.lastFullState) >= l.config.FullStateInterval
 	if full {
-		l.mismatches[daemonID] = 0
+		c.mismatches = 0
 		l.lastFullState = l.clock.Now()
 	}
 	return l.message(daemonID, full)
@@ -35,6 +36,10 @@
 		}
 		return m
 	}
+	if c, ok := l.contacts[to]; ok && c.hash == m.Hash {
+		l.countAsSent(to) // the member has the same list
+		return m
+	}
 	m.Updates = l.takeUpdates(to)
 	return m
 }
@@ -71,12 +76,14 @@
 	l.mu.Lock()
 	defer l.unlock()
 	l.merge(reply)
-	id := reply.Sender.DaemonID
-	if e, ok := l.entries[id]; !ok || e.State.Gone() || reply.Hash == l.stateHash() {
-		delete(l.mismatches, id)
-		return
+	c, ok := l.contacts[reply.Sender.DaemonID]
+	switch {
+	case !ok:
+	case c.hash == l.stateHash():
+		c.mismatches = 0
+	default:
+		c.mismatches++
 	}
-	l.mismatches[id]++
 }
 
 // merge applies a message and returns the daemon IDs whose records in it are
@@ -94,10 +101,22 @@
 	}
 	if e, ok := l.entries[from]; ok {
 		e.ConfigRevision = max(e.ConfigRevision, m.Sender.ConfigRevision)
+		if !e.State.Gone() {
+			l.contact(from).hash = m.Hash
+		}
 	}
 	return stale
 }
 
+func (l *List) contact(daemonID string) *contact {
+	c, ok := l.contacts[daemonID]
+	if !ok {
+		c = &contact{}
+		l.contacts[daemonID] = c
+	}
+	return c
+}
+
 // apply merges one record. It returns the daemon ID of a known record that
 // overrules it, or an empty string.
 func (l *List) apply(m Member, from string) string {
@@ -191,7 +210,7 @@
 		if l.places[m.place()] == m.DaemonID {
 			delete(l.places, m.place())
 		}
-		delete(l.mismatches, m.DaemonID)
+		delete(l.contacts, m.DaemonID)
 	} else {
 		e.superseded = false
 		l.supersede(m)
@@ -209,7 +228,7 @@
 	old.State = Dead
 	old.superseded = true
 	old.deadline = l.deadlineOf(Dead)
-	delete(l.mismatches, old.DaemonID)
+	delete(l.contacts, old.DaemonID)
 	delete(l.queue, old.DaemonID) // the others conclude it from the new record
 }
 
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -19,7 +19,7 @@
 	entries       map[string]*entry // by daemon ID, without self
 	places        map[string]string // name and address to live daemon ID
 	queue         map[string]*update
-	mismatches    map[string]int // by daemon ID of a neighbour
+	contacts      map[string]*contact // by daemon ID
 	lastFullState time.Time
 	lastTick      time.Time
 	targets       []string // cached probe targets, nil if stale
@@ -29,6 +29,12 @@
 	events        []func()
 }
 
+// contact is what the last message of a live member told about its list.
+type contact struct {
+	hash       uint64
+	mismatches int // replies in a row with a hash other than the own one
+}
+
 type entry struct {
 	Member
 	// deadline ends the suspicion of a suspect and the retention of a gone member.
@@ -49,14 +55,14 @@
 		self.State = Alive
 	}
 	l := &List{
-		config:     config,
-		clock:      clock,
-		self:       self,
-		entries:    make(map[string]*entry),
-		places:     make(map[string]string),
-		queue:      make(map[string]*update),
-		mismatches: make(map[string]int),
-		lastTick:   clock.Now(),
+		config:   config,
+		clock:    clock,
+		self:     self,
+		entries:  make(map[string]*entry),
+		places:   make(map[string]string),
+		queue:    make(map[string]*update),
+		contacts: make(map[string]*contact),
+		lastTick: clock.Now(),
 	}
 	l.enqueue(self.DaemonID, "")
 	return l
--- a/pkg/membership/queue.go
+++ b/pkg/membership/queue.go
@@ -52,14 +52,27 @@
 		}
 		room -= m.encodedBytes()
 		updates = append(updates, m)
-		u.sent++
-		if u.sent >= l.retransmits() {
-			delete(l.queue, u.daemonID)
-		}
+		l.count(u)
 	}
 	return updates
 }
 
+func (l *List) count(u *update) {
+	u.sent++
+	if u.sent >= l.retransmits() {
+		delete(l.queue, u.daemonID)
+	}
+}
+
+// countAsSent counts all updates that are due for a member that has them.
+func (l *List) countAsSent(to string) {
+	for _, u := range l.queue {
+		if u.daemonID != to {
+			l.count(u)
+		}
+	}
+}
+
 func (l *List) dueUpdates(to string) []*update {
 	due := make([]*update, 0, len(l.queue))
 	for _, u := range l.queue {
