--- a/internal/moves/entry.go
+++ b/internal/moves/entry.go
@@ -112,7 +112,7 @@
 }
 
 // judgeOwn runs the daemon's own judge over the own counters.
-func (e *entry) judgeOwn(now time.Time, daemons int) {
+func (e *entry) judgeOwn(now time.Time, share float64, daemons int) {
 	samples := e.own.since(e.judged0, e.spec.To)
 	if len(samples) == 0 {
 		return
@@ -121,7 +121,7 @@
 		e.judge = move.NewJudge(move.JudgeConfig{Alarm: ownAlarm, Judges: daemons})
 		e.judge.SetUpstreams(e.upstreams)
 	}
-	e.judge.Add(now, samples)
+	e.judge.Add(now, share, samples)
 }
 
 // finding returns the pooled evidence if there is more of it than own evidence.
--- a/internal/moves/manager.go
+++ b/internal/moves/manager.go
@@ -182,6 +182,11 @@
 	delete(m.verdicts, oldest)
 }
 
+// share is the percentage of the new version by the ramp.
+func (m *Manager) share(e *entry, now time.Time) float64 {
+	return e.ramp.Share(now, m.verdicts[e.key])
+}
+
 func (m *Manager) notify() {
 	select {
 	case m.wake <- struct{}{}:
@@ -216,7 +221,7 @@
 		if !e.judged(now) {
 			continue
 		}
-		e.judgeOwn(now, daemons)
+		e.judgeOwn(now, m.share(e, now), daemons)
 		if v, ok := m.decide(e, now); ok {
 			announce = append(announce, v)
 		}
--- a/internal/moves/pool.go
+++ b/internal/moves/pool.go
@@ -54,7 +54,7 @@
 	var announce []*peerv1.Verdict
 	for k, counters := range byMove {
 		if e := m.entries[k.name]; e != nil && e.key == k && e.judged(now) {
-			e.pooled().add(now, e, request, counters)
+			e.pooled().add(now, m.share(e, now), e, request, counters)
 			if v, ok := m.decide(e, now); ok {
 				announce = append(announce, v)
 			}
@@ -74,7 +74,7 @@
 }
 
 // add judges the increase since the daemon's last report.
-func (p *pool) add(now time.Time, e *entry, request *peerv1.ReportEvidenceRequest, counters []*peerv1.Counter) {
+func (p *pool) add(now time.Time, share float64, e *entry, request *peerv1.ReportEvidenceRequest, counters []*peerv1.Counter) {
 	r := p.reporters[request.GetDaemonId()]
 	if r == nil {
 		if len(p.reporters) >= maxReporters {
@@ -101,7 +101,7 @@
 		}
 		samples = append(samples, one)
 	}
-	p.judge.Add(now, samples)
+	p.judge.Add(now, share, samples)
 }
 
 // valid reports whether a counter is about one of the move's versions.
--- a/pkg/move/cusum.go
+++ b/pkg/move/cusum.go
@@ -21,12 +21,15 @@
 	// Contributions of failed requests of the new version since the restart.
 	upstreams   map[string]float64
 	dataCentres map[string]float64
+	// witnesses are requests of the old version in a data centre after the
+	// first failed one of the new version there.
+	witnesses map[string]counts
 	// Requests and failures of both versions since the restart.
 	newRequests, newFailures, oldRequests, oldFailures float64
 }
 
 func newCusum() *cusum {
-	c := &cusum{}
+	c := &cusum{upstreams: make(map[string]float64), dataCentres: make(map[string]float64), witnesses: make(map[string]counts)}
 	c.restart()
 	return c
 }
@@ -34,10 +37,37 @@
 func (c *cusum) restart() {
 	c.restarts++
 	c.value = c.floor()
-	c.upstreams, c.dataCentres = make(map[string]float64), make(map[string]float64)
+	clear(c.upstreams)
+	clear(c.dataCentres)
+	clear(c.witnesses)
 	c.newRequests, c.newFailures, c.oldRequests, c.oldFailures = 0, 0, 0, 0
 }
 
+// count adds the requests of an interval.
+func (c *cusum) count(dataCentre string, fresh, old counts) {
+	if c.dataCentres[dataCentre] > 0 {
+		w := c.witnesses[dataCentre]
+		c.witnesses[dataCentre] = counts{w.requests + old.requests, w.bad + old.bad}
+	}
+	c.newRequests += fresh.requests
+	c.newFailures += fresh.bad
+	c.oldRequests += old.requests
+	c.oldFailures += old.bad
+}
+
+// record notes who contributed evidence, each failed request with weight.
+func (c *cusum) record(dataCentre string, byUpstream map[string]counts, fresh counts, weight float64) {
+	if fresh.bad == 0 {
+		return
+	}
+	for upstream, one := range byUpstream {
+		if one.bad > 0 {
+			c.upstreams[upstream] += one.bad * weight
+		}
+	}
+	c.dataCentres[dataCentre] += fresh.bad * weight
+}
+
 // floor is the logarithm of the weight of the current starting point.
 func (c *cusum) floor() float64 {
 	k := float64(c.restarts)
@@ -62,6 +92,14 @@
 	c.add(-contribution)
 }
 
+// oldWorks reports whether the old version serves the requests of a data
+// centre well in which the new version fails.
+func (c *cusum) oldWorks(dataCentre string) bool {
+	const enough = 10
+	w := c.witnesses[dataCentre]
+	return w.requests >= enough && rate(w.bad, w.requests) < rate(c.newFailures, c.newRequests)/3
+}
+
 // excess is the difference of the failure rates of both versions since the
 // restart.
 func (c *cusum) excess() float64 {
--- a/pkg/move/ramp.go
+++ b/pkg/move/ramp.go
@@ -9,23 +9,27 @@
 
 // Parameters of ramps.
 const (
-	// FirstPercent is the largest share of a version that is not proved good.
-	FirstPercent = object.MaxFirstStepPercent
+	// MaxUnprovedPercent is the largest share of a version that is not proved good.
+	MaxUnprovedPercent = object.MaxFirstStepPercent
+	// FirstPercent is the first share of the default ramp. It is below the
+	// allowed share, so that random differences between the share and the
+	// requests actually sent stay below it too.
+	FirstPercent = 4.5
 	// MaxClockDifference is the largest difference between the clocks of two
 	// daemons for which a move that is on time ends before its deadline on both.
 	MaxClockDifference = 2 * time.Second
-	// ProofDelay is the time from the proof to the first share above
-	// FirstPercent. It lets the proof reach every daemon first.
+	// ProofDelay is the time from the proof to the first share above the
+	// unproved one. It lets the proof reach every daemon first.
 	ProofDelay = 2 * time.Second
 
 	fullPercent = 100.0
 	// holdPart is the part of the default ramp spent at FirstPercent.
 	holdPart = 0.3
 	// marginPart is the part of the time that is left before the deadline.
-	marginPart = 0.1
+	marginPart = 0.08
 	// catchUpPart is the part of the time that the growth from FirstPercent to
 	// 100 takes at least after a late proof.
-	catchUpPart = 0.15
+	catchUpPart = 0.12
 )
 
 // Ramp gives the share of the new version. It is a value without state: equal
@@ -46,8 +50,8 @@
 
 func part(d time.Duration, p float64) time.Duration { return time.Duration(float64(d) * p) }
 
-// Margin is the time between the planned end of the ramp and the deadline: a
-// tenth of the time, and at least the bound on clock differences unless that
+// Margin is the time between the planned end of the ramp and the deadline: 8%
+// of the time, and at least the bound on clock differences unless that
 // is more than a quarter of the time.
 func (r Ramp) Margin() time.Duration {
 	return max(part(r.duration(), marginPart), min(MaxClockDifference, r.duration()/4))
@@ -65,7 +69,7 @@
 }
 
 // Share returns the percentage of the new version at a time, 0 to 100. It
-// passes FirstPercent only after the proof in the verdict; then it follows the
+// passes MaxUnprovedPercent only after the proof in the verdict; then it follows the
 // plan, and after a late proof it catches up with a bounded slope even if that
 // makes the move late.
 func (r Ramp) Share(now time.Time, v Verdict) float64 {
@@ -77,7 +81,7 @@
 	}
 	planned := r.planned(now)
 	if v.Proved.IsZero() {
-		return min(planned, FirstPercent)
+		return min(planned, MaxUnprovedPercent)
 	}
 	return min(planned, growth(now.Sub(v.Proved.Add(ProofDelay)), r.CatchUp()))
 }
--- a/pkg/move/route.go
+++ b/pkg/move/route.go
@@ -12,12 +12,17 @@
 	// recentRequests is the number of requests in which the share and the
 	// failure rate of the old version in a data centre are measured.
 	recentRequests = 200.0
+	// sharePrior is the weight, in requests, of the ramp's share against the
+	// measured one.
+	sharePrior = 5.0
+	minPlanned = 0.001
 	// minExcess is the least excess rate for which a version is taken back; a
 	// certain but smaller difference is left to the operator.
 	minExcess = 0.02
-	// sharedPart is the part of the evidence that must remain when the
-	// strongest upstream (or data centre) is left out.
-	sharedPart = 0.35
+	// minShared is the evidence that must remain when the strongest upstream
+	// (or data centre) is left out. By chance the others reach it with a
+	// probability of at most exp(-6) = 0.25%.
+	minShared = 6.0
 	// suspension is how long a data centre whose requests fail alone is left
 	// out of the tests.
 	suspension = 2 * time.Minute
@@ -60,25 +65,41 @@
 
 type counts struct{ requests, bad float64 }
 
-// recency holds the last requests in a data centre.
-type recency struct{ fresh, old counts }
+// recency holds the last requests in a data centre. The share of the new
+// version follows the ramp at once and the difference between the ramp and
+// the requests slowly: measured over recentRequests alone it lagged behind a
+// growing ramp, and in trials most good versions were taken back.
+type recency struct {
+	fresh, old counts
+	// Requests of each version that the ramp would have given.
+	expectedNew, expectedOld float64
+	planned                  float64 // share by the ramp, 0 to 1
+}
 
-func (r *recency) add(fresh, old counts) {
+func (r *recency) add(planned float64, fresh, old counts) {
+	r.planned = min(max(planned, minPlanned), 1-minPlanned)
+	total := fresh.requests + old.requests
+	r.expectedNew += r.planned * total
+	r.expectedOld += (1 - r.planned) * total
 	r.fresh.requests += fresh.requests
 	r.fresh.bad += fresh.bad
 	r.old.requests += old.requests
 	r.old.bad += old.bad
 	if total := r.fresh.requests + r.old.requests; total > recentRequests {
 		scale := recentRequests / total
-		for _, c := range []*counts{&r.fresh, &r.old} {
-			c.requests *= scale
-			c.bad *= scale
+		for _, v := range []*float64{
+			&r.fresh.requests, &r.fresh.bad, &r.old.requests, &r.old.bad, &r.expectedNew, &r.expectedOld,
+		} {
+			*v *= scale
 		}
 	}
 }
 
+// share is the probability that a request is one of the new version.
 func (r *recency) share() float64 {
-	return rate(r.fresh.requests, r.fresh.requests+r.old.requests)
+	odds := r.planned / (1 - r.planned) * (r.fresh.requests + sharePrior) * (r.expectedOld + sharePrior) /
+		((r.old.requests + sharePrior) * (r.expectedNew + sharePrior))
+	return odds / (1 + odds)
 }
 
 func newRouteJudge(name string, limit float64) *routeJudge {
@@ -88,7 +109,7 @@
 		faulty: make(map[string]bool), suspended: make(map[string]time.Time),
 	}
 	for _, signal := range []Signal{Failures, Slow} {
-		s := &signalJudge{recent: make(map[string]*recency), proof: newProof()}
+		s := &signalJudge{recent: make(map[string]*recency), proof: newProof(signal)}
 		for i := range s.tests {
 			s.tests[i] = newCusum()
 		}
@@ -99,7 +120,7 @@
 
 // add runs the tests over one interval and returns the evidence for taking
 // the version back, or "".
-func (r *routeJudge) add(now time.Time, samples []Sample) string {
+func (r *routeJudge) add(now time.Time, share float64, samples []Sample) string {
 	byDataCentre := make(map[string][]Sample)
 	for _, s := range samples {
 		r.requests += s.Requests
@@ -111,7 +132,7 @@
 	}
 	for _, dataCentre := range sortedKeys(byDataCentre) {
 		for _, signal := range []Signal{Failures, Slow} {
-			r.signals[signal].addBatch(r, now, signal, dataCentre, byDataCentre[dataCentre])
+			r.signals[signal].addBatch(r, batch{now, share, signal, dataCentre}, byDataCentre[dataCentre])
 		}
 	}
 	for _, signal := range []Signal{Failures, Slow} {
@@ -122,12 +143,20 @@
 	return ""
 }
 
+// batch identifies the samples of one signal in one data centre.
+type batch struct {
+	now        time.Time
+	share      float64 // of the new version by the ramp, 0 to 1
+	signal     Signal
+	dataCentre string
+}
+
 // addBatch adds the samples of one data centre.
-func (s *signalJudge) addBatch(r *routeJudge, now time.Time, signal Signal, dataCentre string, samples []Sample) {
+func (s *signalJudge) addBatch(r *routeJudge, b batch, samples []Sample) {
 	var fresh, old counts
 	byUpstream := make(map[string]counts)
 	for _, one := range samples {
-		bad := min(one.count(signal), one.Requests)
+		bad := min(one.count(b.signal), one.Requests)
 		switch {
 		case !one.New:
 			old.requests += one.Requests
@@ -139,24 +168,26 @@
 			fresh.bad += bad
 		}
 	}
-	recent := s.recent[dataCentre]
+	recent := s.recent[b.dataCentre]
 	if recent == nil {
 		recent = &recency{}
-		s.recent[dataCentre] = recent
+		s.recent[b.dataCentre] = recent
 	}
-	recent.add(fresh, old)
+	recent.add(b.share, fresh, old)
 	s.old.requests += old.requests
 	s.old.bad += old.bad
-	concurrent := rate(recent.old.bad, recent.old.requests)
+	// The rate in the data centre covers an outage; the rate on the whole route
+	// is the better estimate while there are few requests.
+	baseline := max(rate(recent.old.bad, recent.old.requests), (s.old.bad+1)/(s.old.requests+20))
 	for upstream, c := range byUpstream {
-		s.proof.add(upstream, c.requests, c.bad, concurrent)
+		s.proof.add(upstream, c.requests, c.bad, baseline)
 	}
-	if now.Before(r.suspended[dataCentre]) {
+	if b.now.Before(r.suspended[b.dataCentre]) {
 		return
 	}
-	s.compare(dataCentre, fresh, old, byUpstream, recent.share())
+	s.compare(b.dataCentre, fresh, old, byUpstream, recent.share())
 	if recent.share() > baselineShare {
-		s.compareBaseline(dataCentre, fresh, byUpstream, recent)
+		s.compareBaseline(b.dataCentre, fresh, old, byUpstream, recent)
 	}
 }
 
@@ -167,37 +198,30 @@
 func (s *signalJudge) compare(dataCentre string, fresh, old counts, byUpstream map[string]counts, share float64) {
 	for i, risk := range relativeRisks {
 		test := s.tests[i]
+		test.count(dataCentre, fresh, old)
+		if fresh.bad+old.bad == 0 {
+			continue
+		}
 		each := math.Log(1 - share + share*risk)
-		s.record(test, dataCentre, byUpstream, fresh, old, math.Log(risk)-each)
+		test.record(dataCentre, byUpstream, fresh, math.Log(risk)-each)
 		test.add(fresh.bad*math.Log(risk) - (fresh.bad+old.bad)*each)
 	}
 }
 
 // compareBaseline compares the new version with the rate of the old one during
 // the whole move, or in the data centre now if that is higher.
-func (s *signalJudge) compareBaseline(dataCentre string, fresh counts, byUpstream map[string]counts, recent *recency) {
+func (s *signalJudge) compareBaseline(dataCentre string, fresh, old counts, byUpstream map[string]counts, recent *recency) {
 	const prior = 20 // requests at the lowest rate, for an old version without traffic
 	p0 := 1.5 * (s.old.bad + prior*minBaseline) / (s.old.requests + prior)
 	p0 = max(p0, rate(recent.old.bad, recent.old.requests))
 	p0 = min(max(p0, minBaseline), maxBaseline)
 	p1 := withExcess(p0, baselineExcess)
 	test := s.tests[baselineTest]
-	s.record(test, dataCentre, byUpstream, fresh, counts{}, math.Log(p1/p0))
+	test.count(dataCentre, fresh, old)
+	test.record(dataCentre, byUpstream, fresh, math.Log(p1/p0))
 	test.add(bernoulli(fresh.requests, fresh.bad, p0, p1))
 }
 
-// record notes who contributed evidence, each failed request with weight.
-func (s *signalJudge) record(test *cusum, dataCentre string, byUpstream map[string]counts, fresh, old counts, weight float64) {
-	for upstream, c := range byUpstream {
-		test.upstreams[upstream] += c.bad * weight
-	}
-	test.dataCentres[dataCentre] += fresh.bad * weight
-	test.newRequests += fresh.requests
-	test.newFailures += fresh.bad
-	test.oldRequests += old.requests
-	test.oldFailures += old.bad
-}
-
 // decide returns the evidence if a test of a signal has reached its limit and
 // the fault isn't confined to one instance or to one data centre.
 func (r *routeJudge) decide(now time.Time, signal Signal) string {
@@ -206,7 +230,7 @@
 		if test.value < r.limit || test.excess() < minExcess {
 			continue
 		}
-		if r.instanceFault(test) || r.dataCentreFault(now, s, test) {
+		if r.instanceFault(test) || r.dataCentreFault(now, test) {
 			continue
 		}
 		name := "old version before"
@@ -222,7 +246,7 @@
 // concentrated reports whether too little evidence remains without the
 // strongest contributor.
 func concentrated(test *cusum, contribution float64) bool {
-	return test.gain()-contribution < sharedPart*test.gain()
+	return test.gain()-contribution < minShared
 }
 
 // instanceFault sets aside the upstream that fails alone. When half of the
@@ -250,9 +274,9 @@
 
 // dataCentreFault leaves a data centre out for some time if the new version
 // fails only there and the old version isn't seen to work there.
-func (r *routeJudge) dataCentreFault(now time.Time, s *signalJudge, test *cusum) bool {
+func (r *routeJudge) dataCentreFault(now time.Time, test *cusum) bool {
 	dataCentre, contribution := largest(test.dataCentres)
-	if len(r.dataCentres) < 2 || !concentrated(test, contribution) || s.oldWorks(dataCentre) {
+	if len(r.dataCentres) < 2 || !concentrated(test, contribution) || test.oldWorks(dataCentre) {
 		return false
 	}
 	suspended := 1
@@ -273,15 +297,6 @@
 	return true
 }
 
-// oldWorks reports whether the old version served recent requests of a data
-// centre well.
-func (s *signalJudge) oldWorks(dataCentre string) bool {
-	const enough = 20
-	recent := s.recent[dataCentre]
-	return recent != nil && recent.old.requests >= enough &&
-		rate(recent.old.bad, recent.old.requests) < rate(recent.fresh.bad, recent.fresh.requests)/3
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
