Let the slow store stand-in ignore the caller's deadline

The stand-in ended its delay when the deadline of the call passed, and its reply could arrive before the client saw the same deadline. Ruled out: the adapter; it reports what it receives. Change: the stand-in sleeps for the whole delay. Conclusion: the check is unchanged.

--- a/test/standin/store/faults.go
+++ b/test/standin/store/faults.go
@@ -101,12 +101,9 @@
 		return status.Error(codes.ResourceExhausted, "etcdserver: too many requests")
 	}
 	if faults.DelayMillis > 0 {
-		select {
-		case <-time.After(time.Duration(faults.DelayMillis) * time.Millisecond):
-		case <-ctx.Done():
-			// The server of a slow store does not notice that the caller gave up.
-			return nil
-		}
+		// A slow store does not notice that the caller gave up. Going on when
+		// the deadline passes would let a reply overtake the caller's deadline.
+		time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
 	}
 	return nil
 }
