--- a/test/bench/policy/main.go
+++ b/test/bench/policy/main.go
@@ -29,7 +29,7 @@
 	var o options
 	kong.Parse(&o, kong.Description("Measures routing, admission and retry policies."))
 	fmt.Printf("seed=%d length=%s warmup=%s\n", o.Seed, o.Length, o.Warmup)
-	r := &report{Seed: o.Seed}
+	r := &report{Run: time.Now().UTC().Format(time.RFC3339), Seed: o.Seed}
 	sections := map[string]func(*report, options){
 		"mixes": runMixes, "decision": runDecisions, "outage": runOutage, "overload": runOverload,
 	}
--- a/test/bench/policy/report.go
+++ b/test/bench/policy/report.go
@@ -19,8 +19,10 @@
 	AtLeast bool     `json:"atLeast,omitempty"`
 	// Ratio is Measured relative to the baseline; 0 if there is none.
 	Ratio    float64 `json:"ratio,omitempty"`
-	Baseline string  `json:"baseline,omitempty"`
-	OK       bool    `json:"ok"`
+	Baseline string  `json:"baselineName,omitempty"`
+	// BaselineValue is the baseline's own measurement.
+	BaselineValue *float64 `json:"baseline,omitempty"`
+	OK            bool     `json:"ok"`
 }
 
 // figures are the measurements of one policy on one mix.
@@ -37,8 +39,9 @@
 }
 
 type report struct {
+	Run     string    `json:"run"`
 	Seed    uint64    `json:"seed"`
-	Checks  []check   `json:"checks"`
+	Checks  []check   `json:"results"`
 	Figures []figures `json:"figures"`
 }
 
@@ -112,6 +115,12 @@
 }
 
 func (r *report) writeJSON(path string) error {
+	for i := range r.Checks {
+		if c := &r.Checks[i]; c.Ratio != 0 {
+			value := c.Measured / c.Ratio
+			c.BaselineValue = &value
+		}
+	}
 	data, err := json.MarshalIndent(r, "", "  ")
 	if err != nil {
 		return err
