Keep streams through two hand-overs

GET /v1/requests/{id} answered with a new X-Request-Id, and the client of rudderctl used it for its next resumption ('stream unknown'). 2. An event that was sent beside the close of a record was refused after the peer had taken the request over; the refusal hid the close, so that the caller was not told where the stream goes on. Ruled out: the keeper; it held all 16 records. Change: the answer names the resumed request, the client keeps the first ID, and an acknowledgement that has arrived counts before a later refusal.

--- a/internal/apiclient/stream.go
+++ b/internal/apiclient/stream.go
@@ -166,7 +166,7 @@
 		}
 		return Problem(whole.Status, whole.Body)
 	}
-	if id := resp.Header.Get("X-Request-Id"); id != "" {
+	if id := resp.Header.Get("X-Request-Id"); end.RequestID == "" {
 		end.RequestID = id
 	}
 	err := eventstream.Read(ctx, resp, maxEventBytes, func(e *sse.Event) error { return end.receive(e, f) })
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -283,3 +283,19 @@
 		}
 	})
 }
+
+// Guards against a stream that is lost because an event was sent beside the
+// close: the peer refuses the event, but it has taken over the request.
+func TestRefusedEventAfterCloseKeepsHandOver(t *testing.T) {
+	r := &Replicator{
+		queue: make(chan *peerv1.ReplicateRequest, 1), done: make(chan struct{}),
+		records: map[string]*copyState{"a": {changed: make(chan struct{})}},
+	}
+	r.acknowledge(&peerv1.ReplicateResponse{RequestId: "a", AckedEventId: closedEventID})
+	r.acknowledge(&peerv1.ReplicateResponse{RequestId: "a", AckedEventId: refusedEventID})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := r.Close(ctx, "a", true); err != nil {
+		t.Errorf("the hand-over is reported as failed: %v", err)
+	}
+}
--- a/internal/handover/replicator.go
+++ b/internal/handover/replicator.go
@@ -147,10 +147,12 @@
 		ok, refused, changed := reached(state), state.refused, state.changed
 		r.mu.Unlock()
 		switch {
-		case refused:
-			return result.New(result.StreamMoved, result.Unknown, "the peer does not keep request %s", id)
 		case ok:
+			// A refusal of a later event, for example of one that is sent
+			// beside a close, takes back nothing.
 			return nil
+		case refused:
+			return result.New(result.StreamMoved, result.Unknown, "the peer does not keep request %s", id)
 		}
 		select {
 		case <-changed:
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -89,6 +89,7 @@
 	if err != nil {
 		return s.withAddresses(err)
 	}
+	c.Response.Header.Set(headerRequestID, f.ID)
 	detach := s.options.Proxy.Attach(f)
 	defer detach()
 	if f.Streams() {
--- a/test/harness/lookup.go
+++ b/test/harness/lookup.go
@@ -64,6 +64,9 @@
 	if resp.Status != http.StatusOK {
 		return Resumed{}, apiclient.Problem(resp.Status, resp.Body)
 	}
+	if resp.RequestID != id {
+		return Resumed{}, fmt.Errorf("the answer names request %q instead of %q", resp.RequestID, id)
+	}
 	var got Resumed
 	var text strings.Builder
 	for _, block := range strings.Split(string(resp.Body), "\n\n") {
