--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -104,7 +104,7 @@
 	t.Cleanup(c.stop)
 	c.startOutside()
 	c.startDaemons()
-	c.caller, c.operator = c.client(callerKey), c.client(operatorKey)
+	c.caller, c.operator = c.client(CallerKey), c.client(operatorKey)
 	c.WaitReady(c.Daemons...)
 	c.WaitMembers(len(c.Daemons), c.Daemons...)
 	c.WaitRevision(c.Apply(c.Daemons[0], c.objects()), c.Daemons...)
--- a/test/harness/objects.go
+++ b/test/harness/objects.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,7 +15,8 @@
 )
 
 const (
-	callerKey   = "test-caller-key"
+	// CallerKey is the key of the client account that the tests use.
+	CallerKey   = "test-caller-key"
 	operatorKey = "test-operator-key"
 	modelName   = "appraiser"
 	// OperatorTimeout bounds a call of an operator.
@@ -82,7 +84,7 @@
 	for name, role := range map[string]string{"counter": "caller", "ops": "operator"} {
 		hash := operatorHash()
 		if role == "caller" {
-			hash = server.HashKey(callerKey)
+			hash = server.HashKey(CallerKey)
 		}
 		fmt.Fprintf(&b, "---\nkind: ClientAccount\nmetadata: {name: %s}\nspec: {role: %s, keyHashes: [%q], weight: 10}\n",
 			name, role, hash)
@@ -203,3 +205,22 @@
 	path := fmt.Sprintf("%s/%s/drain?notice=%s", operatorapi.PathUpstream, name, notice)
 	return c.Operate(d, http.MethodPost, path, nil, nil)
 }
+
+// Metric returns a metric of a daemon, 0 if the daemon has none of this name.
+func (c *Cluster) Metric(d *Daemon, name string) float64 {
+	c.T.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), OperatorTimeout)
+	defer cancel()
+	resp, err := c.operator.Do(ctx, d.HTTP, apiclient.Request{
+		Method: http.MethodGet, Path: "/metrics", Timeout: OperatorTimeout,
+	})
+	c.must(err)
+	for _, line := range strings.Split(string(resp.Body), "\n") {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			value, err := strconv.ParseFloat(rest, 64)
+			c.must(err)
+			return value
+		}
+	}
+	return 0
+}
--- a/test/harness/stream.go
+++ b/test/harness/stream.go
@@ -72,6 +72,13 @@
 	return body
 }
 
+// ChatBody completes the options and returns them with the body of a streamed
+// request.
+func ChatBody(o ChatOptions) (ChatOptions, []byte) {
+	o = o.withDefaults()
+	return o, o.body(true)
+}
+
 // Addresses returns the HTTP addresses of daemons.
 func Addresses(daemons ...*Daemon) []string {
 	list := make([]string, len(daemons))
