--- a/internal/moves/manager.go
+++ b/internal/moves/manager.go
@@ -68,7 +68,7 @@
 	// view is read by the request path without a lock.
 	view atomic.Pointer[view]
 	wake chan struct{}
-	work sync.WaitGroup // broadcasts, reports and records in progress
+	work sync.WaitGroup // reports and records in progress
 
 	mu       sync.Mutex
 	entries  map[string]*entry // by move name
@@ -130,6 +130,7 @@
 		m.entries[name] = e
 	}
 	e.spec = spec
+	e.routes = len(s.Routes(spec.Service))
 	e.setUpstreams(upstreamCount(s, spec.To))
 	switch spec.State {
 	case object.MoveTakenBack:
@@ -182,6 +183,11 @@
 	delete(m.verdicts, oldest)
 }
 
+// share is the percentage of the new version by the ramp.
+func (m *Manager) share(e *entry, now time.Time) float64 {
+	return e.ramp.Share(now, m.verdicts[e.key])
+}
+
 func (m *Manager) notify() {
 	select {
 	case m.wake <- struct{}{}:
@@ -216,7 +222,7 @@
 		if !e.judged(now) {
 			continue
 		}
-		e.judgeOwn(now, daemons)
+		e.judgeOwn(now, m.share(e, now), daemons)
 		if v, ok := m.decide(e, now); ok {
 			announce = append(announce, v)
 		}
--- a/internal/moves/pool.go
+++ b/internal/moves/pool.go
@@ -19,7 +19,7 @@
 type pool struct {
 	judge     *move.Judge
 	reporters map[string]*reporter // by daemon ID
-	lastNew   time.Time            // arrival of the last request of the new version
+	flow      flow
 }
 
 type reporter struct {
@@ -30,7 +30,7 @@
 func (e *entry) pooled() *pool {
 	if e.pool == nil {
 		e.pool = &pool{
-			judge:     move.NewJudge(move.JudgeConfig{Alarm: poolAlarm, Judges: Evaluators}),
+			judge:     move.NewJudge(move.JudgeConfig{Alarm: poolAlarm, Judges: Evaluators, Routes: e.routes}),
 			reporters: make(map[string]*reporter),
 		}
 		e.pool.judge.SetUpstreams(e.upstreams)
@@ -54,7 +54,7 @@
 	var announce []*peerv1.Verdict
 	for k, counters := range byMove {
 		if e := m.entries[k.name]; e != nil && e.key == k && e.judged(now) {
-			e.pooled().add(now, e, request, counters)
+			e.pooled().add(now, m.share(e, now), e, request, counters)
 			if v, ok := m.decide(e, now); ok {
 				announce = append(announce, v)
 			}
@@ -74,7 +74,7 @@
 }
 
 // add judges the increase since the daemon's last report.
-func (p *pool) add(now time.Time, e *entry, request *peerv1.ReportEvidenceRequest, counters []*peerv1.Counter) {
+func (p *pool) add(now time.Time, share float64, e *entry, request *peerv1.ReportEvidenceRequest, counters []*peerv1.Counter) {
 	r := p.reporters[request.GetDaemonId()]
 	if r == nil {
 		if len(p.reporters) >= maxReporters {
@@ -88,6 +88,7 @@
 	}
 	r.sequence = request.GetSequence()
 	var samples []move.Sample
+	fresh, all := 0.0, 0.0
 	for _, c := range counters {
 		k, after := fromProto(c)
 		before := r.last[k]
@@ -96,12 +97,14 @@
 		}
 		r.last[k] = after
 		one := sample(k, before, after, e.spec.To)
+		all += one.Requests
 		if one.New {
-			p.lastNew = now
+			fresh += one.Requests
 		}
 		samples = append(samples, one)
 	}
-	p.judge.Add(now, samples)
+	p.flow.add(now, share, fresh, all)
+	p.judge.Add(now, share, samples)
 }
 
 // valid reports whether a counter is about one of the move's versions.
--- a/internal/proxy/appflow.go
+++ b/internal/proxy/appflow.go
@@ -90,7 +90,6 @@
 	spec      *object.Service
 	operation *object.Operation
 	choice    VersionChoice
-	excluded  []string
 }
 
 func (p *Proxy) newAppRun(call AppCall, spec *object.Service, operation *object.Operation) (*appRun, error) {
@@ -104,69 +103,44 @@
 	return &appRun{proxy: p, call: call, spec: spec, operation: operation, choice: choice}, nil
 }
 
-// lookup runs an idempotent call with retries.
-func (p *Proxy) lookup(ctx context.Context, call AppCall, spec *object.Service, operation *object.Operation) (AppReply, error) {
-	run, err := p.newAppRun(call, spec, operation)
-	if err != nil {
-		return AppReply{}, err
-	}
-	ticket, err := p.options.Admission.Admit(ctx, call.Caller.Account, object.ClassShort, 0, call.Deadline, 1)
-	if err != nil {
-		return AppReply{}, err
-	}
-	slot := &slot{ticket: ticket}
-	defer slot.release()
-	policy := p.policyOf(call.Service, spec)
-	policy.budget.Offer()
-	for number := 1; ; number++ {
-		reply, outcome, err := run.once(ctx)
-		if err == nil {
-			slot.firstByte()
-			return AppReply{Reply: reply}, nil
-		}
-		wait, policyErr := policy.policy.Next(retry.Attempt{
-			Number: number, Idempotent: true, Class: object.ClassShort, Deadline: call.Deadline,
-			BytesWritten: outcome != app.NotSent, Refused: outcome == app.Refused,
-		})
-		if policyErr != nil {
-			return AppReply{}, withCause(policyErr, err)
-		}
-		select {
-		case <-ctx.Done():
-			return AppReply{}, deadlineError(ctx)
-		case <-p.options.Clock.After(wait):
-		}
-	}
-}
-
-// once makes one attempt. A reply with status 5xx counts as an answer of the
-// service but as a failure in health and move evidence.
-func (r *appRun) once(ctx context.Context) (app.Reply, app.Outcome, error) {
-	p := r.proxy
-	upstream, err := r.pick(ctx)
+// once makes one attempt on an upstream that is not excluded. A reply with
+// status 5xx counts as an answer of the service but as a failure in health and
+// move evidence.
+func (r *appRun) once(ctx context.Context, excluded []string, timeout time.Duration) attemptResult {
+	upstream, err := r.pick(ctx, excluded)
 	if err != nil {
-		return app.Reply{}, app.NotSent, err
+		return attemptResult{outcome: app.NotSent, err: err}
 	}
-	reply, outcome, err := p.options.App.Call(ctx, app.Call{
+	reply, outcome, err := r.proxy.options.App.Call(ctx, app.Call{
 		Address: upstream.Address, AttemptID: newID(), Method: r.call.Method, Path: r.call.Path,
-		Headers: r.upstreamHeaders(), Body: r.call.Body, Timeout: r.call.Deadline.Sub(p.options.Clock.Now()),
+		Headers: r.upstreamHeaders(), Body: r.call.Body, Timeout: timeout,
 	})
 	if outcome == app.Answered {
 		upstream.FirstByte()
-	} else {
-		r.excluded = append(r.excluded, upstream.Name)
 	}
 	r.account(upstream, reply, outcome, err)
-	return reply, outcome, err
+	return attemptResult{reply: reply, outcome: outcome, err: err, upstream: upstream.Name}
+}
+
+// attemptResult is the end of one attempt on an application service.
+type attemptResult struct {
+	reply    app.Reply
+	outcome  app.Outcome
+	err      error
+	upstream string // empty if none could be picked
 }
 
-func (r *appRun) pick(ctx context.Context) (*upstreams.Attempt, error) {
+func (r *appRun) remaining() time.Duration {
+	return r.call.Deadline.Sub(r.proxy.options.Clock.Now())
+}
+
+func (r *appRun) pick(ctx context.Context, excluded []string) (*upstreams.Attempt, error) {
 	request := routing.Request{
 		Service: r.call.Service, Version: r.choice.Version, Class: object.ClassShort,
-		Account: r.call.Caller.Account, Work: 1, Deadline: r.call.Deadline, Excluded: r.excluded,
+		Account: r.call.Caller.Account, Work: 1, Deadline: r.call.Deadline, Excluded: excluded,
 	}
 	upstream, err := r.proxy.options.Directory.Pick(ctx, request)
-	if err != nil && len(r.excluded) > 0 {
+	if err != nil && len(excluded) > 0 {
 		request.Excluded = nil
 		return r.proxy.options.Directory.Pick(ctx, request)
 	}
@@ -238,22 +212,18 @@
 
 // untilSent repeats attempts that provably did not run.
 func (r *appRun) untilSent(ctx context.Context, policy *retry.Policy) (app.Reply, app.Outcome, error) {
+	var excluded []string
 	for number := 1; ; number++ {
-		reply, outcome, err := r.once(ctx)
-		if outcome == app.Answered || outcome == app.Lost {
-			return reply, outcome, err
+		end := r.once(ctx, excluded, r.remaining())
+		if end.outcome == app.Answered || end.outcome == app.Lost {
+			return end.reply, end.outcome, end.err
 		}
-		wait, policyErr := policy.Next(retry.Attempt{
-			Number: number, BytesWritten: outcome == app.Refused, Refused: outcome == app.Refused,
+		excluded = append(excluded, end.upstream)
+		if err := r.proxy.awaitRetry(ctx, policy, retry.Attempt{
+			Number: number, BytesWritten: end.outcome == app.Refused, Refused: end.outcome == app.Refused,
 			Class: object.ClassShort, Deadline: r.call.Deadline,
-		})
-		if policyErr != nil {
-			return reply, outcome, withCause(policyErr, err)
-		}
-		select {
-		case <-ctx.Done():
-			return reply, outcome, err
-		case <-r.proxy.options.Clock.After(wait):
+		}); err != nil {
+			return end.reply, end.outcome, withCause(err, end.err)
 		}
 	}
 }
--- a/internal/proxy/chatflow.go
+++ b/internal/proxy/chatflow.go
@@ -217,7 +217,7 @@
 	}
 	r.number++
 	_, tokens := r.inflight.emitted()
-	wait, err := policy.policy.Next(retry.Attempt{
+	err := r.proxy.awaitRetry(ctx, policy.policy, retry.Attempt{
 		Number: r.number, Idempotent: true, Class: r.class, BytesWritten: end.written,
 		Refused: end.refused, Emitted: tokens > 0, Resumable: true, Deadline: r.inflight.Deadline,
 	})
@@ -227,12 +227,7 @@
 	if errors.Is(end.err, engine.ErrFailed) || errors.Is(end.err, engine.ErrIncomplete) {
 		r.rechoose()
 	}
-	select {
-	case <-ctx.Done():
-		return deadlineError(ctx)
-	case <-r.proxy.options.Clock.After(wait):
-		return nil
-	}
+	return nil
 }
 
 // Waiting for an upstream.
