--- a/test/capacity/gossipcost.go
+++ b/test/capacity/gossipcost.go
@@ -35,6 +35,7 @@
 	r.atMost("gossip: memory of membership and its connections, 420 daemons", r.find("gossip.memory").last()/1e6, controlMemory/1e6, "MB")
 	r.atMost("gossip: a change reaches all of 420 daemons", r.find("gossip.change_time").last(), milliseconds(changeLimit), "ms")
 	r.atMost("gossip: a leaving notice reaches all of 420 daemons", r.find("gossip.leaving_time").last(), milliseconds(leavingLimit), "ms")
+	r.atMost("burst: the notices of 600 upstreams reach all of 420 daemons", r.find("burst.notice_time").last(), milliseconds(leavingLimit), "ms")
 	return nil
 }
 
@@ -62,7 +63,10 @@
 	if err := measureChange(r, f); err != nil {
 		return err
 	}
-	return measureEvents(r, f)
+	if err := measureEvents(r, f); err != nil {
+		return err
+	}
+	return measureBurst(r, f)
 }
 
 // drainTime is the time in which the news of n joins ends. A news is sent
