--- a/test/capacity/report.go
+++ b/test/capacity/report.go
@@ -114,6 +114,9 @@
 	for _, l := range r.limits {
 		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", l.name, number(l.measured), number(l.bound), l.unit, l.verdict())
 	}
+	for _, failure := range r.failures {
+		fmt.Fprintf(&b, "\nIncomplete: %s\n", failure)
+	}
 	return b.String()
 }
 
--- a/test/capacity/series.go
+++ b/test/capacity/series.go
@@ -15,6 +15,8 @@
 	section string
 	series  []*series
 	limits  []limit
+	// failures are the sections that ended early.
+	failures []string
 }
 
 // series is one quantity at several sizes.
