Compare move policies and give calls without a session their own version

Cause: an application call without a session got its version by the client account alone, so the whole traffic of an account went to one version, and a large account could put far more than the ramp's share on a new version. Nothing compared the pooled test with simpler policies.

Change: the version of such a call is chosen by its request ID. The trials of moves can run with each daemon judging alone and with fixed thresholds. The counters that an evaluator keeps for one daemon are bounded.

--- a/internal/moves/counters.go
+++ b/internal/moves/counters.go
@@ -14,7 +14,7 @@
 const (
 	slowFactor     = 2.0
 	minSlowSamples = 20
-	// maxCounters bounds the counters of one move on one daemon; further
+	// maxCounters bounds the counters of one move by one daemon; further
 	// upstreams are counted together.
 	maxCounters = 512
 )
--- a/internal/moves/fleet_test.go
+++ b/internal/moves/fleet_test.go
@@ -133,7 +133,7 @@
 	bad       float64        // failure rate of v2
 }
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t testing.TB, n int) *fleet {
 	const seed = 11
 	t.Logf("seed=%d", seed)
 	chart, err := statechart.Load(charts.Files, "move")
@@ -171,7 +171,7 @@
 	return objects
 }
 
-func (f *fleet) add(t *testing.T) *instance {
+func (f *fleet) add(t testing.TB) *instance {
 	n := len(f.instances)
 	i := &instance{member: membership.Member{DaemonID: fmt.Sprint("d", n), PeerAddress: fmt.Sprint("peer", n), DataCentre: fmt.Sprint("dc", n%3), State: membership.Alive}}
 	i.config = config.NewManager(config.Options{
@@ -198,7 +198,7 @@
 }
 
 // serve runs the peer protocol of an instance over an in-memory connection.
-func (f *fleet) serve(t *testing.T, i *instance) {
+func (f *fleet) serve(t testing.TB, i *instance) {
 	listener := bufconn.Listen(1 << 20)
 	server := grpc.NewServer(peer.ServerOptions()...)
 	none := peerv1.UnimplementedPeerServer{}
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -251,3 +251,18 @@
 	o.Failed = f.random.Float64() < 0.01
 	i.Observe(o)
 }
+
+// Measures what a move adds to the request path.
+func BenchmarkRequest(b *testing.B) {
+	f := newFleet(b, 1)
+	f.startMove("m", time.Hour)
+	f.run(step, 0)
+	i := f.instances[0]
+	shares := []object.Share{{Version: "v1", Percent: 100}}
+	o := proxy.Observation{Service: "s", Route: "r", Version: "v1", DataCentre: "dc0", Upstream: "v1-0", Latency: time.Second}
+	b.ReportAllocs()
+	for b.Loop() {
+		i.Shares("s", "r", shares, nil)
+		i.Observe(o)
+	}
+}
--- a/internal/moves/pool.go
+++ b/internal/moves/pool.go
@@ -92,6 +92,9 @@
 	for _, c := range counters {
 		k, after := fromProto(c)
 		before := r.last[k]
+		if _, known := r.last[k]; !known && len(r.last) >= maxCounters {
+			continue
+		}
 		if !e.valid(k) || after.requests <= before.requests || after.failures < before.failures || after.slow < before.slow {
 			continue
 		}
--- a/internal/proxy/appflow.go
+++ b/internal/proxy/appflow.go
@@ -96,7 +96,7 @@
 func (p *Proxy) newAppRun(call AppCall, spec *object.Service, operation *object.Operation) (*appRun, error) {
 	choice, err := p.options.Versions.Choose(VersionQuery{
 		Service: call.Service, Caller: call.Caller, Class: object.ClassShort,
-		Operation: operation.Name, Session: call.Caller.Account + "/" + call.Session,
+		Operation: operation.Name, Session: versionSession(call),
 	})
 	if err != nil {
 		return nil, err
@@ -104,6 +104,17 @@
 	return &appRun{proxy: p, call: call, spec: spec, operation: operation, choice: choice}, nil
 }
 
+// versionSession is the key by which a call gets its version. A call without a
+// session is one of its own: otherwise all such calls of an account would go to
+// the same version, and the share of a large account could exceed the ramp's.
+func versionSession(call AppCall) string {
+	session := call.Session
+	if session == "" {
+		session = call.RequestID
+	}
+	return call.Caller.Account + "/" + session
+}
+
 // lookup runs an idempotent call with retries.
 func (p *Proxy) lookup(ctx context.Context, call AppCall, spec *object.Service, operation *object.Operation) (AppReply, error) {
 	run, err := p.newAppRun(call, spec, operation)
--- a/test/bench/moves/decide.go
+++ b/test/bench/moves/decide.go
@@ -9,12 +9,18 @@
 // judge runs the own judges and the evaluators at the end of a tick.
 func (t *trial) judge(now time.Time) {
 	for _, o := range t.own {
+		if t.policy == policyThreshold {
+			break
+		}
 		if samples := o.take(); len(samples) > 0 {
 			o.judge.Add(now, t.ramp.Share(now, t.verdict), samples)
-			t.decide(now, o.judge, false)
+			t.decide(now, o.judge, t.policy == policyOwn)
 		}
 	}
 	for e, pool := range t.pools {
+		if t.policy == policyOwn {
+			break
+		}
 		for d, o := range t.pending[e] {
 			if (t.steps+d)%reportInterval == 0 {
 				t.send(now, e, pool, o)
@@ -31,7 +37,7 @@
 
 // send delivers a report, loses it or delays it. Counters are cumulative, so a
 // lost report is contained in the next one.
-func (t *trial) send(now time.Time, evaluator int, pool *move.Judge, o *observer) {
+func (t *trial) send(now time.Time, evaluator int, pool judge, o *observer) {
 	switch x := t.random.Float64(); {
 	case x < lostReports:
 	case x < lostReports+lateReports:
@@ -45,7 +51,7 @@
 	}
 }
 
-func (t *trial) decide(now time.Time, j *move.Judge, pooled bool) {
+func (t *trial) decide(now time.Time, j judge, proves bool) {
 	if t.verdict.Outcome == move.TakenBack {
 		return
 	}
@@ -57,7 +63,7 @@
 			t.reaches[d] = now.Add(time.Duration(t.random.Float64() * float64(spread)))
 		}
 		t.result.takenBack, t.result.verdict, t.result.evidence = true, now.Sub(t.ramp.Start), f.Evidence
-	case f.Proved && pooled && t.verdict.Outcome == move.Unproved:
+	case f.Proved && proves && t.verdict.Outcome == move.Unproved:
 		t.result.proved = true
 		t.verdict = t.verdict.Merge(move.Verdict{Outcome: move.Proved, Proved: now, Decided: now})
 	}
--- a/test/bench/moves/main.go
+++ b/test/bench/moves/main.go
@@ -24,15 +24,16 @@
 	Trials int       `help:"Trials of each kind and rate." default:"1000"`
 	Rates  []float64 `help:"Requests a second." default:"1,10,100"`
 	Kinds  []string  `help:"Kinds of versions; all if empty."`
+	Policy string    `help:"Policy to measure." enum:"pooled,own,threshold" default:"pooled"`
 	JSON   string    `help:"File for the JSON report." placeholder:"FILE"`
 }
 
 func main() {
 	var o options
 	kong.Parse(&o, kong.Description("Measures ramps, verdicts and proofs of moves."))
-	fmt.Printf("seed=%d trials=%d rates=%v\n", o.Seed, o.Trials, o.Rates)
+	fmt.Printf("seed=%d trials=%d rates=%v policy=%s\n", o.Seed, o.Trials, o.Rates, o.Policy)
 	started := time.Now()
-	r := &report{Run: run{Name: "moves", Seed: o.Seed, Trials: o.Trials, Rates: o.Rates}}
+	r := &report{Run: run{Name: "moves", Seed: o.Seed, Trials: o.Trials, Rates: o.Rates, Policy: o.Policy}}
 	for _, k := range kinds {
 		if len(o.Kinds) > 0 && !slices.Contains(o.Kinds, k.name) {
 			continue
@@ -63,7 +64,7 @@
 	for range runtime.NumCPU() {
 		wait.Go(func() {
 			for i := range next {
-				outcomes[i] = newTrial(o.Seed, uint64(i), k, rate).run()
+				outcomes[i] = newTrial(o.Policy, o.Seed, uint64(i), k, rate).run()
 			}
 		})
 	}
--- a/test/bench/moves/report.go
+++ b/test/bench/moves/report.go
@@ -30,6 +30,7 @@
 	Seed   uint64    `json:"seed"`
 	Trials int       `json:"trials"`
 	Rates  []float64 `json:"rates"`
+	Policy string    `json:"policy"`
 }
 
 type report struct {
@@ -87,7 +88,7 @@
 		if o.proved {
 			proved++
 		}
-		if o.onTime {
+		if o.onTime && (k.bad || !o.takenBack) {
 			onTime++
 		}
 		if o.takenBack {
--- a/test/bench/moves/trial.go
+++ b/test/bench/moves/trial.go
@@ -64,6 +64,7 @@
 }
 
 type trial struct {
+	policy   string
 	random   *rand.Rand
 	rate     float64
 	kind     kind
@@ -73,7 +74,7 @@
 	verdict  move.Verdict
 	reaches  [daemons]time.Time // when the verdict takes effect
 	own      [daemons]*observer
-	pools    [evaluators]*move.Judge
+	pools    [evaluators]judge
 	pending  [evaluators][daemons]*observer
 	suspects [daemons][newUpstreams]bool
 	late     map[int][]delivery
@@ -89,7 +90,7 @@
 
 // observer collects the counters since its last sample.
 type observer struct {
-	judge   *move.Judge
+	judge   judge
 	counts  [slots]move.Sample
 	touched []int
 }
@@ -109,7 +110,7 @@
 	return i
 }
 
-func newObserver(j *move.Judge) *observer {
+func newObserver(j judge) *observer {
 	return &observer{judge: j}
 }
 
@@ -143,21 +144,19 @@
 	return samples
 }
 
-func newTrial(seed, number uint64, k kind, rate float64) *trial {
+func newTrial(policy string, seed, number uint64, k kind, rate float64) *trial {
 	t := &trial{
-		random: rand.New(rand.NewPCG(seed, number)), rate: rate, kind: k,
+		policy: policy, random: rand.New(rand.NewPCG(seed, number)), rate: rate, kind: k,
 		length: durationFor(rate), late: make(map[int][]delivery),
 	}
 	start := time.Unix(1_700_000_000, 0)
 	t.ramp = move.Ramp{Start: start, Deadline: start.Add(t.length)}
 	t.fault = newFault(k, t.random, t.length)
 	for d := range daemons {
-		t.own[d] = newObserver(move.NewJudge(move.JudgeConfig{Alarm: 0.003, Judges: daemons, Routes: len(routeParts)}))
-		t.own[d].judge.SetUpstreams(newUpstreams)
+		t.own[d] = newObserver(newJudge(policy, daemons))
 	}
 	for e := range evaluators {
-		t.pools[e] = move.NewJudge(move.JudgeConfig{Alarm: 0.003, Judges: evaluators, Routes: len(routeParts)})
-		t.pools[e].SetUpstreams(newUpstreams)
+		t.pools[e] = newJudge(policy, evaluators)
 		for d := range daemons {
 			t.pending[e][d] = newObserver(nil)
 		}
