--- a/test/bench/relay/site.go
+++ b/test/bench/relay/site.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"time"
 
@@ -161,7 +162,9 @@
 func (s *site) close() {
 	s.client.Close()
 	s.stop()
-	<-s.stopped
+	if err := <-s.stopped; err != nil {
+		fmt.Fprintln(os.Stderr, "daemon:", err)
+	}
 	for _, e := range s.engines {
 		e.Close()
 	}
