Add the placement duty and wire it into the daemon

Cause: plans of pkg/placement were not carried out.

Ruled out: sending a whole control order at once (the engine contract has one action per order and gives up a load when another order arrives, so that an order with a model and a version never finished); trusting the cloud's list alone for removals (an upstream that still answers is kept).

Change: internal/placement gathers the state, plans every 3 s and carries the plan out on the holder of the lease. The engine adapter sent one JSON object that the control endpoint refuses as an unknown action; it now sends one action per end state and reads the control state. New key platform.placement_slots.

Conclusion: off by default (platform.placement); nothing changes without it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreamhttp"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/admission"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/membership"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/order"
@@ -76,6 +77,8 @@
 	calls     *ants.Pool
 	runner    *duty.Runner
 	grpc      *grpc.Server
+	// placementLease is nil if placement is off.
+	placementLease *lease.Holder
 
 	mu        sync.Mutex
 	chart     *statechart.Machine
@@ -304,6 +307,7 @@
 
 func (d *Daemon) onGivenUp(m membership.Member) {
 	d.log.Warn("other daemons declared this one dead", "incarnation", m.Incarnation)
+	d.abandonPlacement()
 	d.fire("declared_dead")
 	d.fire("joined")
 }
@@ -361,6 +365,7 @@
 		duties = append(duties, duty.Duty{Name: "reclaim-notices", Run: d.runNotices},
 			duty.Duty{Name: "instance-list", Run: d.runInstanceList})
 	}
+	duties = append(duties, d.placementDuties()...)
 	for _, one := range duties {
 		if err := d.runner.Start(ctx, one); err != nil {
 			return err
--- /dev/null
+++ b/internal/daemon/placement.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/placement"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
+	planner "github.com/dogwoodrudder/dogwoodrudder/pkg/placement"
+)
+
+// minLeaseTTL is the shortest time to live that pkg/lease supports.
+const minLeaseTTL = 3 * time.Second
+
+// placementDuties returns the lease and the duty of placement, or none if the
+// settings turn placement off or name no cloud.
+func (d *Daemon) placementDuties() []duty.Duty {
+	if !d.settings.Platform.Placement || d.cloud == nil {
+		return nil
+	}
+	d.placementLease = lease.New(lease.Config{
+		Backend: store.LeaseBackend{Store: d.store}, Clock: d.clock, Logger: d.log, Duty: placement.Name,
+		Key: placement.LeaseKey, DaemonID: d.id, TTL: max(minLeaseTTL, d.settings.Store.LeaseTTL),
+		Candidate: func() bool {
+			return d.state() == "serving" && d.gossip.Overlay().Candidate(placement.Name, placement.Candidates)
+		},
+	})
+	limits := planner.DefaultLimits()
+	limits.DefaultSlots = float64(d.settings.Platform.PlacementSlots)
+	one := placement.New(placement.Options{
+		Clock: d.clock, Log: d.log, Lease: d.placementLease, Cloud: d.cloud, Engines: d.engine, Objects: d.operator,
+		Directory: d.directory, Config: d.config.Current, Admission: d.admission.Stats, Limits: limits,
+		Daemons: func() int { return alive(d.gossip.Members()) },
+	})
+	return []duty.Duty{
+		{Name: "placement-lease", Run: d.placementLease.Run},
+		{Name: placement.Name, Run: one.Run},
+	}
+}
+
+// abandonPlacement gives the lease up without waiting for its end.
+func (d *Daemon) abandonPlacement() {
+	if d.placementLease != nil {
+		d.placementLease.Abandon()
+	}
+}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -41,14 +41,62 @@
 	return err
 }
 
+// orderJSON is the body of POST /v1/control; each names one end state.
+type orderJSON struct {
+	Action       string `json:"action"`
+	Model        string `json:"model,omitempty"`
+	Adapter      string `json:"adapter,omitempty"`
+	Version      string `json:"version,omitempty"`
+	Role         string `json:"role,omitempty"`
+	FencingToken int64  `json:"fencing_token"`
+}
+
+// steps splits an order. Loads come last, because a later order ends a load.
+func (o Order) steps() []orderJSON {
+	var list []orderJSON
+	if o.Role != "" {
+		list = append(list, orderJSON{Action: "set_role", Role: o.Role})
+	}
+	for _, adapter := range o.Adapters {
+		list = append(list, orderJSON{Action: "load_adapter", Adapter: adapter})
+	}
+	if o.Model != "" {
+		list = append(list, orderJSON{Action: "load_model", Model: o.Model})
+	}
+	if o.Version != "" {
+		list = append(list, orderJSON{Action: "load_version", Version: o.Version})
+	}
+	for i := range list {
+		list[i].FencingToken = o.FencingToken
+	}
+	return list
+}
+
 // Control implements Engine.
 func (o *OpenAI) Control(ctx context.Context, address string, order Order) error {
-	data, err := json.Marshal(order)
+	for _, step := range order.steps() {
+		data, err := json.Marshal(step)
+		if err != nil {
+			return errors.Wrap(err, "encode control order")
+		}
+		if _, err = o.exchange(ctx, consts.MethodPost, address, "/v1/control", data, timeoutOf(ctx)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ControlState implements Engine.
+func (o *OpenAI) ControlState(ctx context.Context, address string) (ControlState, error) {
+	data, err := o.exchange(ctx, consts.MethodGet, address, "/v1/control", nil, timeoutOf(ctx))
 	if err != nil {
-		return errors.Wrap(err, "encode control order")
+		return ControlState{}, err
 	}
-	_, err = o.exchange(ctx, consts.MethodPost, address, "/v1/control", data, timeoutOf(ctx))
-	return err
+	var state ControlState
+	if err := json.Unmarshal(data, &state); err != nil {
+		return ControlState{}, errors.Wrapf(ErrFailed, "malformed control state of %s: %v", address, err)
+	}
+	return state, nil
 }
 
 func timeoutOf(ctx context.Context) time.Duration {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -63,13 +63,23 @@
 }
 
 // Order is a declarative control order: it states the wanted end state and can
-// be repeated.
+// be repeated. Empty fields leave things as they are. Set either Version or
+// Model: an engine gives up a load when another one is ordered.
 type Order struct {
-	FencingToken int64    `json:"fencingToken"`
-	Role         string   `json:"role,omitempty"`
-	Version      string   `json:"version,omitempty"`
-	Model        string   `json:"model,omitempty"`
-	Adapters     []string `json:"adapters,omitempty"`
+	FencingToken int64
+	Role         string
+	Version      string
+	Model        string
+	Adapters     []string
+}
+
+// ControlState is what an engine has loaded.
+type ControlState struct {
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters"`
+	Version  string   `json:"version"`
+	Role     string   `json:"role"`
+	Loading  bool     `json:"loading"`
 }
 
 // Engine is a model engine.
@@ -87,4 +97,6 @@
 	// Control sends a control order. ErrRefused means that the fencing token
 	// is outdated.
 	Control(ctx context.Context, address string, order Order) error
+	// ControlState reads what the engine has loaded.
+	ControlState(ctx context.Context, address string) (ControlState, error)
 }
--- /dev/null
+++ b/internal/placement/duty.go
@@ -0,0 +1,165 @@
+// Package placement is the duty that carries out the plans of pkg/placement on
+// the holder of the placement lease: it starts and stops instances through the
+// cloud API, orders loads and roles from engines and keeps the upstream
+// objects of the instances that it started.
+package placement
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/cloud"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/engine"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/admission"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/placement"
+)
+
+// Names of the lease.
+const (
+	Name     = "placement"
+	LeaseKey = "/rudder/leases/placement"
+	// Candidates is the number of daemons that campaign.
+	Candidates = 3
+	// DefaultInterval is the time between two plans.
+	DefaultInterval = 3 * time.Second
+	callTimeout     = 3 * time.Second
+	// roleBoth serves prefill and decoding.
+	roleBoth = "both"
+)
+
+// Engines is the part of engine.Engine that placement uses.
+type Engines interface {
+	Load(ctx context.Context, address string) (engine.Load, error)
+	Control(ctx context.Context, address string, order engine.Order) error
+	ControlState(ctx context.Context, address string) (engine.ControlState, error)
+}
+
+// Objects writes configuration objects.
+type Objects interface {
+	Apply(ctx context.Context, actor config.Actor, objects []*object.Object) (config.Applied, error)
+	Delete(ctx context.Context, actor config.Actor, ref object.Ref, revision int64) (int64, error)
+}
+
+// Directory is the part of upstreams.Directory that placement uses.
+type Directory interface {
+	Usage() []upstreams.Usage
+	NoticeOf(upstream string) (upstreams.Notice, bool)
+	Leave(n upstreams.Notice)
+}
+
+// Lease gives the fencing token, or 0 while the duty isn't held.
+type Lease interface{ Token() int64 }
+
+// Options are the dependencies of a Duty. All but Interval are required.
+type Options struct {
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Lease     Lease
+	Cloud     cloud.Provider
+	Engines   Engines
+	Objects   Objects
+	Directory Directory
+	Config    func() *config.Snapshot
+	Admission func() admission.Stats
+	// Daemons is the number of live daemons; the waiting requests of this one
+	// stand for those of all.
+	Daemons  func() int
+	Limits   placement.Limits
+	Interval time.Duration
+}
+
+// Duty plans and carries plans out while it holds the lease.
+type Duty struct {
+	options Options
+	planner *placement.Planner
+	token   int64 // of the lease under which planner was made
+	// checked is when an engine's control state was last read, and loaded what
+	// the reading showed, by instance and address.
+	checked map[string]time.Time
+	loaded  map[string]bool
+}
+
+// New returns a duty that does nothing before Run.
+func New(options Options) *Duty {
+	if options.Interval <= 0 {
+		options.Interval = DefaultInterval
+	}
+	return &Duty{options: options}
+}
+
+// Run plans in each interval until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := d.options.Clock.NewTicker(d.options.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+			d.cycle(ctx)
+		}
+	}
+}
+
+// cycle makes one plan and carries it out. Without the lease or an answer of
+// the cloud it changes nothing.
+func (d *Duty) cycle(ctx context.Context) {
+	token := d.options.Lease.Token()
+	if token == 0 || d.options.Config().Revision == 0 {
+		return
+	}
+	if token != d.token {
+		d.token = token
+		d.planner = placement.New(d.options.Clock, d.options.Limits)
+		d.checked, d.loaded = make(map[string]time.Time), make(map[string]bool)
+	}
+	state, err := d.gather(ctx)
+	if err != nil {
+		d.options.Log.Warn("placement holds still", "error", err.Error())
+		return
+	}
+	for _, a := range d.planner.Plan(state) {
+		if !d.execute(ctx, a) {
+			return
+		}
+	}
+}
+
+// execute carries out one action if the lease under which it was planned is
+// still valid, and reports whether it is.
+func (d *Duty) execute(ctx context.Context, a placement.Action) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if d.options.Lease.Token() != d.token {
+		d.options.Log.Warn("placement stops its plan", "cause", "the lease is no longer valid", "token", d.token)
+		return false
+	}
+	err := d.perform(ctx, a)
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	metrics.GetOrCreateCounter(`rudder_placement_actions_total{action="` + string(a.Kind) + `",outcome="` + outcome + `"}`).Inc()
+	d.log(a, err)
+	return true
+}
+
+func (d *Duty) log(a placement.Action, err error) {
+	i := a.Instance
+	attributes := []any{
+		"action", string(a.Kind), "instance", i.Name, "service", i.Group.Service, "version", i.Group.Version,
+		"class", i.Class, "data_centre", i.DataCentre, "reclaimable", i.Reclaimable, "token", d.token,
+	}
+	if err != nil {
+		d.options.Log.Warn("placement action failed", append(attributes, "error", err.Error())...)
+		return
+	}
+	d.options.Log.Info("placement action done", attributes...)
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -118,6 +118,8 @@
 	l.duration("platform", "notice_interval", &s.Platform.NoticeInterval, time.Second, 50*time.Millisecond, time.Minute,
 		"Time between two readings of the instance list.")
 	l.boolean("platform", "placement", &s.Platform.Placement, false, "Whether this daemon may hold the placement lease.")
+	l.integer("platform", "placement_slots", &s.Platform.PlacementSlots, "requests", 8, 1, 10000,
+		"Concurrent requests of one engine within the latency target; placement sizes the fleet with it.")
 	l.choice("log", "level", &s.Log.Level, "info", "Lowest level that is logged.", "debug", "info", "warn", "error")
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,6 +90,7 @@
 	CloudAddress   string
 	NoticeInterval time.Duration
 	Placement      bool
+	PlacementSlots int
 }
 
 // Log configures logging.
--- /dev/null
+++ b/internal/upstreams/usage.go
@@ -0,0 +1,29 @@
+package upstreams
+
+import "github.com/dogwoodrudder/dogwoodrudder/pkg/health"
+
+// Usage is the work on one upstream.
+type Usage struct {
+	Name, Version string
+	// InFlight counts this daemon's attempts, Reported the running and waiting
+	// requests of all daemons in the newest load report.
+	InFlight, Reported int
+	// Serving means that the upstream isn't ejected and doesn't leave.
+	Serving bool
+}
+
+// Usage lists the upstreams that this daemon uses.
+func (d *Directory) Usage() []Usage {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	list := make([]Usage, 0, len(d.entries))
+	for name, e := range d.entries {
+		status, known := d.tracker.Status(name)
+		load, _ := e.candidate.ReportedLoad()
+		list = append(list, Usage{
+			Name: name, Version: e.version, InFlight: e.candidate.InFlight(), Reported: load.Running + load.Waiting,
+			Serving: known && status.Leaving == "" && status.Reason == health.ReasonNone,
+		})
+	}
+	return list
+}
--- a/pkg/placement/memory.go
+++ b/pkg/placement/memory.go
@@ -19,6 +19,8 @@
 	highest  map[Group]int
 	since    map[string]time.Time // when a phase was first seen
 	reclaims map[string]time.Time // last reclaim by data centre
+	// withdrawn is since when a drained instance has no upstream object.
+	withdrawn map[string]time.Time
 }
 
 // refusalMemory is for how many longest backoffs a refusal counts. With 1, a
@@ -53,13 +55,19 @@
 func (m *memory) observe(now time.Time, s State, l Limits) {
 	m.starts = recent(m.starts, now)
 	m.loads = recent(m.loads, now)
-	since := make(map[string]time.Time)
+	since, withdrawn := make(map[string]time.Time), make(map[string]time.Time)
 	for _, i := range s.Instances {
 		key := phaseKey(i)
 		since[key] = now
 		if old, ok := m.since[key]; ok {
 			since[key] = old
 		}
+		if !i.DrainedAt.IsZero() && !i.Registered {
+			withdrawn[i.Name] = now
+			if old, ok := m.withdrawn[i.Name]; ok {
+				withdrawn[i.Name] = old
+			}
+		}
 		if i.Phase != Gone {
 			m.settle(i)
 		}
@@ -70,7 +78,7 @@
 			m.highest[i.Group] = max(m.highest[i.Group], n)
 		}
 	}
-	m.since = since
+	m.since, m.withdrawn = since, withdrawn
 	m.forget(now, l)
 	for _, d := range s.Demands {
 		m.notePeak(now, d, l)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -75,6 +75,8 @@
 	// InFlightKnown is false without a load report from after the drain.
 	InFlight      int
 	InFlightKnown bool
+	// Serving means that health checks of the upstream succeed.
+	Serving bool
 	// DrainedAt is when daemons were told to send no new work; zero if not.
 	DrainedAt time.Time
 }
@@ -146,7 +148,8 @@
 	// StopDelay the time over which the highest demand counts for stops.
 	StopMargin float64
 	StopDelay  time.Duration
-	// DrainSettle is the least time from a drain to the stop.
+	// DrainSettle is the least time from a drain to the deletion of the
+	// upstream object, and from there to the stop.
 	DrainSettle time.Duration
 	MaxDraining int // instances of a version that drain at once
 	// StartsPerMinute bounds start calls, also refused ones, of all versions.
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -79,13 +79,12 @@
 	case !i.Managed:
 		return nil
 	case i.Phase == Gone:
-		if i.Registered && p.inPhase(now, i) >= p.limits.AbsentGrace {
+		// A cloud list can be wrong; an upstream that answers is kept.
+		if i.Registered && !i.Serving && p.inPhase(now, i) >= p.limits.AbsentGrace {
 			return []Action{{Unregister, i}}
 		}
 	case !i.DrainedAt.IsZero():
-		if p.mayStop(now, i) {
-			return []Action{{Stop, i}}
-		}
+		return p.retire(now, i)
 	case i.Phase == Starting && p.overdue(now, i):
 		return []Action{{Stop, i}}
 	case i.Phase == Running && !i.Loaded:
@@ -105,11 +104,20 @@
 	return !i.Registered && i.InFlight == 0 && p.inPhase(now, i) >= p.limits.StartTimeout
 }
 
-// mayStop requires that the drain has reached all daemons and that a report
-// made after it shows no work.
-func (p *Planner) mayStop(now time.Time, i Instance) bool {
-	return i.Phase != Leaving && i.InFlightKnown && i.InFlight == 0 &&
-		now.Sub(i.DrainedAt) >= p.limits.DrainSettle
+// retire removes a drained instance that a report made after the drain shows
+// to be idle. The upstream object goes first, because a daemon that started
+// after the drain knows of the instance only from there.
+func (p *Planner) retire(now time.Time, i Instance) []Action {
+	idle := i.Phase != Leaving && i.InFlightKnown && i.InFlight == 0
+	switch {
+	case !idle || now.Sub(i.DrainedAt) < p.limits.DrainSettle:
+		return nil
+	case i.Registered:
+		return []Action{{Unregister, i}}
+	case now.Sub(p.memory.withdrawn[i.Name]) < p.limits.DrainSettle:
+		return nil
+	}
+	return []Action{{Stop, i}}
 }
 
 // load orders the load at the rate of the weight store. An instance whose load
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -93,9 +93,12 @@
 		if i.InFlight > 0 {
 			w.fault = "stopped " + i.Name + " with work in flight"
 		}
-		i.Phase = placement.Gone
+		if i.Registered {
+			w.fault = "stopped " + i.Name + " while it was an upstream"
+		}
+		delete(w.instances, i.Name)
 	case placement.Unregister:
-		delete(w.instances, a.Instance.Name)
+		i.Registered = false
 	}
 }
 
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -142,6 +142,15 @@
 	return reply
 }
 
+// ReportedLoad returns the newest load from a reply or report, or false if
+// there is none.
+func (c *Candidate) ReportedLoad() (Load, bool) {
+	if sample := c.latest(); sample != nil {
+		return sample.Load, true
+	}
+	return Load{}, false
+}
+
 // rateDecay lowers the measured maximum with each sample, so that an upstream
 // that has become slower is noticed after a few dozen replies.
 const rateDecay = 0.98
