--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -187,6 +187,9 @@
 
 // instanceEnded stops what runs on an instance that the cloud took away.
 func (c *Cluster) instanceEnded(i cloud.Instance) {
+	if c.Options.Cloud.OnStop != nil {
+		c.Options.Cloud.OnStop(i)
+	}
 	for _, e := range c.Engines {
 		if e.Name == i.Name {
 			e.Close()
