Replace ejected upstreams, and test placement during a store outage

Cause: a dead engine on a machine that still runs counted as capacity for ever, because the cloud lists the machine as running.

Ruled out: stopping an ejected instance at once (it can have work that this daemon does not see); replacing instances when more than half of a version's upstreams are ejected (the holder's own network is the likelier cause).

Change: an upstream that was ejected for a minute is no capacity and is drained; a drained instance without load reports is stopped after 10 minutes. A second end-to-end test raises the demand while the store hangs.

Conclusion: the instance is replaced, and the test with all upstreams ejected starts nothing.

--- a/internal/placement/duty_test.go
+++ b/internal/placement/duty_test.go
@@ -45,7 +45,6 @@
 // fakeCloud lists fixed instances and records starts and stops.
 type fakeCloud struct {
 	cloud.Provider
-	mu     sync.Mutex
 	list   []cloud.Instance
 	starts []string
 	stops  []string
--- a/internal/placement/gather.go
+++ b/internal/placement/gather.go
@@ -130,7 +130,7 @@
 // addUsage adds what this daemon knows of the upstream. A notice counts only
 // for the address for which it was given.
 func (d *Duty) addUsage(i *placement.Instance, u upstreams.Usage) {
-	i.InFlight, i.Serving = max(u.InFlight, u.Reported), u.Serving
+	i.InFlight, i.Serving, i.Ejected = max(u.InFlight, u.Reported), u.Serving, u.Ejected
 	notice, ok := d.options.Directory.NoticeOf(i.Name)
 	if !ok || i.Phase == placement.Gone || (notice.Address != "" && notice.Address != i.Address) {
 		return
@@ -139,7 +139,9 @@
 	case health.SignalReclaim, health.SignalInstanceList:
 		i.Phase = placement.Leaving
 	default:
-		i.DrainedAt = notice.Observed
+		// The load is read again for drained instances; an old report of an
+		// engine that died would never end.
+		i.DrainedAt, i.InFlight = notice.Observed, u.InFlight
 	}
 }
 
--- a/internal/placement/perform.go
+++ b/internal/placement/perform.go
@@ -55,11 +55,11 @@
 }
 
 // stop reads the load once more and checks the lease again, since the reading
-// took time.
+// took time. An engine that gave no report before the plan need not give one now.
 func (d *Duty) stop(ctx context.Context, i placement.Instance) error {
 	if i.Address != "" && !i.DrainedAt.IsZero() {
 		load, err := d.options.Engines.Load(ctx, i.Address)
-		if err != nil {
+		if err != nil && i.InFlightKnown {
 			return errors.Wrap(err, "read load before the stop")
 		}
 		if load.Running+load.Waiting > 0 {
--- a/internal/upstreams/usage.go
+++ b/internal/upstreams/usage.go
@@ -8,8 +8,9 @@
 	// InFlight counts this daemon's attempts, Reported the running and waiting
 	// requests of all daemons in the newest load report.
 	InFlight, Reported int
-	// Serving means that the upstream isn't ejected and doesn't leave.
-	Serving bool
+	// Serving means that the upstream isn't ejected and doesn't leave, Ejected
+	// that it should be ejected, also if the panic threshold prevents it.
+	Serving, Ejected bool
 }
 
 // Usage lists the upstreams that this daemon uses.
@@ -23,6 +24,7 @@
 		list = append(list, Usage{
 			Name: name, Version: e.version, InFlight: e.candidate.InFlight(), Reported: load.Running + load.Waiting,
 			Serving: known && status.Leaving == "" && status.Reason == health.ReasonNone,
+			Ejected: known && status.Leaving == "" && status.Reason != health.ReasonNone,
 		})
 	}
 	return list
--- a/pkg/placement/memory.go
+++ b/pkg/placement/memory.go
@@ -21,6 +21,9 @@
 	reclaims map[string]time.Time // last reclaim by data centre
 	// withdrawn is since when a drained instance has no upstream object.
 	withdrawn map[string]time.Time
+	// ejected is since when an upstream is ejected, and unknown since when a
+	// drained one gives no load report.
+	ejected, unknown map[string]time.Time
 }
 
 // refusalMemory is for how many longest backoffs a refusal counts. With 1, a
@@ -55,19 +58,11 @@
 func (m *memory) observe(now time.Time, s State, l Limits) {
 	m.starts = recent(m.starts, now)
 	m.loads = recent(m.loads, now)
-	since, withdrawn := make(map[string]time.Time), make(map[string]time.Time)
+	m.since = times(now, s, m.since, func(i Instance) string { return phaseKey(i) })
+	m.withdrawn = times(now, s, m.withdrawn, nameIf(func(i Instance) bool { return !i.DrainedAt.IsZero() && !i.Registered }))
+	m.ejected = times(now, s, m.ejected, nameIf(func(i Instance) bool { return i.Ejected }))
+	m.unknown = times(now, s, m.unknown, nameIf(func(i Instance) bool { return !i.DrainedAt.IsZero() && !i.InFlightKnown }))
 	for _, i := range s.Instances {
-		key := phaseKey(i)
-		since[key] = now
-		if old, ok := m.since[key]; ok {
-			since[key] = old
-		}
-		if !i.DrainedAt.IsZero() && !i.Registered {
-			withdrawn[i.Name] = now
-			if old, ok := m.withdrawn[i.Name]; ok {
-				withdrawn[i.Name] = old
-			}
-		}
 		if i.Phase != Gone {
 			m.settle(i)
 		}
@@ -78,13 +73,37 @@
 			m.highest[i.Group] = max(m.highest[i.Group], n)
 		}
 	}
-	m.since, m.withdrawn = since, withdrawn
 	m.forget(now, l)
 	for _, d := range s.Demands {
 		m.notePeak(now, d, l)
 	}
 }
 
+// times returns since when instances have had a key that is not empty.
+func times(now time.Time, s State, old map[string]time.Time, key func(Instance) string) map[string]time.Time {
+	result := make(map[string]time.Time)
+	for _, i := range s.Instances {
+		name := key(i)
+		if name == "" {
+			continue
+		}
+		result[name] = now
+		if at, ok := old[name]; ok {
+			result[name] = at
+		}
+	}
+	return result
+}
+
+func nameIf(condition func(Instance) bool) func(Instance) string {
+	return func(i Instance) string {
+		if condition(i) {
+			return i.Name
+		}
+		return ""
+	}
+}
+
 func phaseKey(i Instance) string { return string(rune('0'+i.Phase)) + i.Name }
 
 // settle ends a pending start that the list shows; the offer works again.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -75,15 +75,18 @@
 	// InFlightKnown is false without a load report from after the drain.
 	InFlight      int
 	InFlightKnown bool
-	// Serving means that health checks of the upstream succeed.
-	Serving bool
+	// Serving means that health checks of the upstream succeed, Ejected that
+	// they fail. Neither is set if the health is not known.
+	Serving, Ejected bool
 	// DrainedAt is when daemons were told to send no new work; zero if not.
 	DrainedAt time.Time
+
+	failed bool // ejected for EjectedGrace
 }
 
 // counts reports whether the instance is capacity for future demand.
 func (i Instance) counts() bool {
-	return (i.Phase == Running || i.Phase == Starting) && i.DrainedAt.IsZero()
+	return (i.Phase == Running || i.Phase == Starting) && i.DrainedAt.IsZero() && !i.failed
 }
 
 // Offer is a machine class on sale in a data centre.
@@ -165,6 +168,10 @@
 	// AbsentGrace is how long an instance must be missing before its upstream
 	// object is deleted.
 	AbsentGrace time.Duration
+	// EjectedGrace is how long an ejected upstream counts as capacity, and
+	// UnknownTimeout how long a drained one without load reports is kept. No
+	// request is older than its drain, so it must exceed request timeouts.
+	EjectedGrace, UnknownTimeout time.Duration
 	// ReclaimHold is how long a data centre is avoided after a reclaim.
 	ReclaimHold time.Duration
 	Seed        uint64 // of the jitter
@@ -178,7 +185,7 @@
 		StartsPerMinute: 30, MaxPending: 20, LoadsPerMinute: 30,
 		RefusalBackoff: 5 * time.Second, MaxRefusalBackoff: 5 * time.Minute,
 		PendingTimeout: 30 * time.Second, StartTimeout: 5 * time.Minute,
-		AbsentGrace: 15 * time.Second, ReclaimHold: 5 * time.Minute,
+		AbsentGrace: 15 * time.Second, EjectedGrace: time.Minute, UnknownTimeout: 10 * time.Minute, ReclaimHold: 5 * time.Minute,
 	}
 }
 
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -47,6 +47,9 @@
 	for _, i := range s.Instances {
 		groups[i.Group] = append(groups[i.Group], i)
 	}
+	for _, instances := range groups {
+		p.markFailed(now, instances)
+	}
 	var actions []Action
 	for _, d := range s.Demands {
 		for _, i := range groups[d.Group] {
@@ -85,6 +88,8 @@
 		}
 	case !i.DrainedAt.IsZero():
 		return p.retire(now, i)
+	case i.failed:
+		return []Action{{Drain, i}}
 	case i.Phase == Starting && p.overdue(now, i):
 		return []Action{{Stop, i}}
 	case i.Phase == Running && !i.Loaded:
@@ -95,6 +100,30 @@
 	return nil
 }
 
+// markFailed marks instances that have been ejected for EjectedGrace. If that
+// is more than half of the group, the holder's own network is the likelier
+// cause, and none is marked.
+func (p *Planner) markFailed(now time.Time, instances []Instance) {
+	failed, registered := 0, 0
+	for n := range instances {
+		i := &instances[n]
+		if !i.Registered || i.Phase != Running || !i.DrainedAt.IsZero() {
+			continue
+		}
+		registered++
+		if at, ok := p.memory.ejected[i.Name]; ok && now.Sub(at) >= p.limits.EjectedGrace {
+			i.failed = true
+			failed++
+		}
+	}
+	if 2*failed <= registered {
+		return
+	}
+	for n := range instances {
+		instances[n].failed = false
+	}
+}
+
 // inPhase returns how long the instance has been seen in its phase.
 func (p *Planner) inPhase(now time.Time, i Instance) time.Duration {
 	return now.Sub(p.memory.since[phaseKey(i)])
@@ -105,10 +134,11 @@
 }
 
 // retire removes a drained instance that a report made after the drain shows
-// to be idle. The upstream object goes first, because a daemon that started
+// to be idle, or that has given no report for UnknownTimeout. The upstream object goes first, because a daemon that started
 // after the drain knows of the instance only from there.
 func (p *Planner) retire(now time.Time, i Instance) []Action {
-	idle := i.Phase != Leaving && i.InFlightKnown && i.InFlight == 0
+	silent := !i.InFlightKnown && now.Sub(p.memory.unknown[i.Name]) >= p.limits.UnknownTimeout
+	idle := i.Phase != Leaving && i.InFlight == 0 && (i.InFlightKnown || silent)
 	switch {
 	case !idle || now.Sub(i.DrainedAt) < p.limits.DrainSettle:
 		return nil
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -33,6 +33,7 @@
 	kinds     map[placement.Kind]int
 	cost      float64
 	fault     string // the first broken rule
+	silent    string // an instance that gives no load reports
 }
 
 func newWorld(limits placement.Limits, offers []placement.Offer) *world {
@@ -88,7 +89,7 @@
 	case placement.Register:
 		i.Registered = true
 	case placement.Drain:
-		i.DrainedAt, i.InFlightKnown = w.clock.Now(), true
+		i.DrainedAt, i.InFlightKnown = w.clock.Now(), i.Name != w.silent
 	case placement.Stop:
 		if i.InFlight > 0 {
 			w.fault = "stopped " + i.Name + " with work in flight"
@@ -373,3 +374,36 @@
 	t.Logf("four hours: mix %.1f, on-demand only %.1f", mix, onDemand)
 	g.Expect(mix).To(BeNumerically("<", 0.75*onDemand))
 }
+
+// Guards against a dead engine that counts as capacity for ever, and against a
+// holder that replaces the fleet because its own network is cut.
+func TestEjectedUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(placement.DefaultLimits(), threeDataCentres())
+	w.demand = 60
+	g.Expect(w.settle(2000)).To(BeTrue())
+	starts := w.kinds[placement.Start]
+	for _, i := range w.instances {
+		i.Ejected = true
+	}
+	for range 300 {
+		w.step()
+	}
+	g.Expect(w.kinds[placement.Start]).To(Equal(starts), "all are ejected")
+	dead := ""
+	for name, i := range w.instances {
+		i.Ejected = dead == ""
+		if i.Ejected {
+			dead, i.InFlight, w.silent = name, 0, name
+		}
+	}
+	for range 60 {
+		w.step()
+	}
+	g.Expect(w.kinds[placement.Start]).To(Equal(starts+1), "the dead one is replaced")
+	g.Expect(w.instances).To(HaveKey(dead), "it can have work for some time")
+	for range 400 {
+		w.step()
+	}
+	g.Expect(w.instances).NotTo(HaveKey(dead))
+}
--- a/test/e2e/placement_test.go
+++ b/test/e2e/placement_test.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/test/harness"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/cloud"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/engine"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/store"
 )
 
 // placedPrefix begins the names of instances that placement starts for v1.
@@ -189,3 +190,49 @@
 		t.Error(err)
 	}
 }
+
+// Guards against starts without a valid lease while the store is down, and
+// against a fleet that stays too small when the store is back.
+func TestPlacementHoldsStillWithoutStore(t *testing.T) {
+	t.Parallel()
+	p := &placed{engines: make(map[string]*engine.Server), centres: make(map[string]string)}
+	c := harness.New(t, harness.Options{Engines: 1, Cloud: cloud.Options{OnStart: p.start, OnStop: p.stop, Offers: []cloud.Offer{
+		{Class: "small", DataCentre: "dc1", OnDemandPrice: 3, ReclaimablePrice: 1},
+		{Class: "small", DataCentre: "dc2", OnDemandPrice: 3, ReclaimablePrice: 1},
+		{Class: "small", DataCentre: "dc3", OnDemandPrice: 3, ReclaimablePrice: 1},
+	}}, Settings: map[string]string{
+		"platform.placement": "true", "platform.placement_slots": "4", "store.lease_ttl": "3s",
+	}})
+	total := func() int { n := p.started(); return n["dc1"] + n["dc2"] + n["dc3"] }
+	// The engines at hand are reclaimable, so one on-demand instance is added.
+	c.Wait("the first instance is placed", 30*time.Second, func() error {
+		if n, _ := upstreamObjects(c, c.Daemons[0]); n != 1 {
+			return fmt.Errorf("%d placed upstreams, started %v", n, p.started())
+		}
+		return nil
+	})
+	storeDown(t, c, store.DownHang)
+	time.Sleep(4 * time.Second) // the lease and a plan that was under way end
+	before := total()
+	load := startChatLoad(c, 18, 300)
+	time.Sleep(10 * time.Second)
+	if now := total(); now != before {
+		t.Errorf("%d instances were started while the store was down", now-before)
+	}
+	if load.done.Load() == 0 {
+		t.Error("nothing was served while the store was down")
+	}
+	storeDown(t, c, store.DownNone)
+	begun := time.Now()
+	c.Wait("instances start after the outage", 40*time.Second, func() error {
+		if now := total(); now == before {
+			return fmt.Errorf("started %v", p.started())
+		}
+		return nil
+	})
+	t.Logf("instances started %s after the store was back: %v", time.Since(begun).Round(100*time.Millisecond), p.started())
+	load.end()
+	if load.failed.Load() > 0 {
+		t.Errorf("%d of %d chats failed", load.failed.Load(), load.done.Load())
+	}
+}
