Count used offers and starting instances once in a plan

Cause: a plan for 12,000 instances scanned them once for each offer and start. Change: both are counted once.

--- a/pkg/placement/memory.go
+++ b/pkg/placement/memory.go
@@ -11,6 +11,7 @@
 type memory struct {
 	began    time.Time
 	pending  map[string]pendingStart // starts that the list doesn't show yet
+	starting int                     // instances that the list shows as starting
 	starts   []time.Time             // of the last minute
 	loads    []time.Time             // of the last minute
 	ordered  map[string]time.Time    // last load order by instance
@@ -62,7 +63,11 @@
 	m.withdrawn = times(now, s, m.withdrawn, nameIf(func(i Instance) bool { return !i.DrainedAt.IsZero() && !i.Registered }))
 	m.ejected = times(now, s, m.ejected, nameIf(func(i Instance) bool { return i.Ejected }))
 	m.unknown = times(now, s, m.unknown, nameIf(func(i Instance) bool { return !i.DrainedAt.IsZero() && !i.InFlightKnown }))
+	m.starting = 0
 	for _, i := range s.Instances {
+		if i.Phase == Starting {
+			m.starting++
+		}
 		if i.Phase != Gone {
 			m.settle(i)
 		}
--- a/pkg/placement/need.go
+++ b/pkg/placement/need.go
@@ -100,12 +100,12 @@
 // options lists the offers with the capacity that the instances leave. An
 // offer that refused its last start gets one start in a plan.
 func (p *Planner) options(s State) []option {
-	pending := p.pending()
+	taken := used(s.Instances, p.pending())
 	var list []option
 	for _, o := range s.Offers {
 		left := math.MaxInt
 		if o.Capacity > 0 {
-			left = o.Capacity - used(s.Instances, o) - used(pending, o)
+			left = o.Capacity - taken[offerKey{class: o.Class, dataCentre: o.DataCentre}]
 		}
 		slots := p.limits.slots(o.Class)
 		if slots <= 0 {
@@ -128,14 +128,17 @@
 	return list
 }
 
-func used(instances []Instance, o Offer) int {
-	n := 0
-	for _, i := range instances {
-		if i.Phase != Gone && i.Class == o.Class && i.DataCentre == o.DataCentre {
-			n++
+// used counts the instances of each class in each data centre.
+func used(lists ...[]Instance) map[offerKey]int {
+	counts := make(map[offerKey]int)
+	for _, list := range lists {
+		for _, i := range list {
+			if i.Phase != Gone {
+				counts[offerKey{class: i.Class, dataCentre: i.DataCentre}]++
+			}
 		}
 	}
-	return n
+	return counts
 }
 
 // best returns the option with the lowest price for its benefit. While
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -234,12 +234,7 @@
 
 // budget is the number of starts allowed now.
 func (p *Planner) budget() int {
-	pending := len(p.memory.pending)
-	for key := range p.memory.since {
-		if key[0] == '0'+byte(Starting) {
-			pending++
-		}
-	}
+	pending := len(p.memory.pending) + p.memory.starting
 	return max(0, min(p.limits.StartsPerMinute-len(p.memory.starts), p.limits.MaxPending-pending))
 }
 
