Test the reader of KNOWN-RED.txt where it lives

Cause: the reader moved to test/knownred, its test did not. Change: the test moved along, unchanged but for the name of the function.

--- a/test/harness/knownred_test.go
+++ b/test/knownred/knownred_test.go
@@ -1,10 +1,10 @@
-package harness
+package knownred
 
 import "testing"
 
 // Guards against a listed test that still fails the build, and against an
 // entry that hides another test.
-func TestKnownRedEntry(t *testing.T) {
+func TestEntry(t *testing.T) {
 	const text = "Tests that fail because of a fault that is known.\n\n" +
 		"TestLate/store_down: go test ./test/e2e -run TestLate, seed 7\n  seen: 3 s\n  issue: 12\n" +
 		"TestLate2: go test ./test/e2e\n"
@@ -14,7 +14,7 @@
 		"TestLate":            "",
 		"seen":                "",
 	} {
-		if got := knownRedEntry(text, name); got != want {
+		if got := Entry(text, name); got != want {
 			t.Errorf("%s: got %q, want %q", name, got, want)
 		}
 	}
