--- a/internal/proxy/appflow.go
+++ b/internal/proxy/appflow.go
@@ -93,14 +93,31 @@
 }
 
 func (p *Proxy) newAppRun(call AppCall, spec *object.Service, operation *object.Operation) (*appRun, error) {
-	choice, err := p.options.Versions.Choose(VersionQuery{
-		Service: call.Service, Caller: call.Caller, Class: object.ClassShort,
-		Operation: operation.Name, Session: call.Caller.Account + "/" + call.Session,
-	})
+	run := &appRun{proxy: p, call: call, spec: spec, operation: operation}
+	choice, err := p.options.Versions.Choose(run.versionQuery(""))
 	if err != nil {
 		return nil, err
 	}
-	return &appRun{proxy: p, call: call, spec: spec, operation: operation, choice: choice}, nil
+	run.choice = choice
+	return run, nil
+}
+
+func (r *appRun) versionQuery(failed string) VersionQuery {
+	return VersionQuery{
+		Service: r.call.Service, Caller: r.call.Caller, Class: object.ClassShort,
+		Operation: r.operation.Name, Session: versionSession(r.call), Failed: failed,
+	}
+}
+
+// versionSession is the key by which a call gets its version. A call without a
+// session is one of its own: otherwise all such calls of an account would go to
+// the same version, and the share of a large account could exceed the ramp's.
+func versionSession(call AppCall) string {
+	session := call.Session
+	if session == "" {
+		session = call.RequestID
+	}
+	return call.Caller.Account + "/" + session
 }
 
 // once makes one attempt on an upstream that is not excluded. A reply with
