--- a/test/capacity/gossipcost.go
+++ b/test/capacity/gossipcost.go
@@ -69,16 +69,17 @@
 	return measureBurst(r, f)
 }
 
-// drainTime is the time in which the news of n joins ends. A news is sent
-// 3 log2(n+1) times by each daemon, and a daemon sends and answers 6 messages a
-// second with about 10 news each.
+// drainTime is an upper bound of the time in which the news of n joins ends. A
+// news is sent at most 3 log2(n+1) times by each daemon, and a daemon sends and
+// answers 6 messages a second with about 10 news each. Members whose lists are
+// equal send none.
 func drainTime(n int) time.Duration {
 	sends := membership.DefaultRetransmitFactor * math.Log2(float64(n+1))
 	return time.Duration(float64(n) * sends / 50 * float64(time.Second))
 }
 
 // measureTraffic measures a fleet in which no daemon joins or goes. Directly
-// after the start, the messages are full of the news of the joins.
+// after the start, messages can still carry news of the joins.
 func measureTraffic(r *run, f *gossipFleet, when string) {
 	n := float64(len(f.members))
 	const duration = 3 * time.Second
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -22,7 +22,7 @@
 type options struct {
 	Quick  bool          `help:"Shorter runs with fewer repetitions."`
 	Only   []string      `help:"Sections to run; all by default." placeholder:"NAME"`
-	Settle time.Duration `help:"Longest wait for the news of a start to end before a fleet counts as at rest. With 420 daemons it takes 220s." default:"26s"`
+	Settle time.Duration `help:"Longest wait for the news of a start to end before a fleet counts as at rest. The bound for 420 daemons is 220s." default:"26s"`
 	Out    string        `help:"Directory of slopes.json and slopes.md; not written if only some sections run, unless it is given." placeholder:"DIR"`
 }
 
