Dial for hertz clients in one place

Cause: two clients had the same dialer, and the package of read timeouts was named after one of its two jobs. Change: internal/hertzconn dials, marks failed dials and wraps connections.

--- a/internal/apiclient/client.go
+++ b/internal/apiclient/client.go
@@ -4,25 +4,21 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/hertzconn"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
 // ErrNotConnected means that no connection was made, so that no byte of the
 // request reached the daemon.
-var ErrNotConnected = errors.New("no connection to daemon")
+var ErrNotConnected = hertzconn.ErrNotConnected
 
 const (
 	dialTimeout = time.Second
@@ -61,7 +57,7 @@
 // request has its own connection.
 func New(key string, keepAlive bool) (*Client, error) {
 	c, err := client.NewClient(
-		client.WithDialer(dialer{standard.NewDialer()}),
+		client.WithDialer(hertzconn.NewDialer()),
 		client.WithDialTimeout(dialTimeout),
 		client.WithResponseBodyStream(true),
 		client.WithKeepAlive(keepAlive),
@@ -142,22 +138,3 @@
 	}
 	return result.New(p.Code, p.Execution, "%s", p.Detail).WithAddresses(p.Addresses)
 }
-
-// dialer marks failed dials, which hertz otherwise reports like failed writes.
-type dialer struct{ network.Dialer }
-
-func (d dialer) DialConnection(netw, address string, timeout time.Duration, cfg *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(netw, address, timeout, cfg)
-	if err != nil {
-		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
-	}
-	return readtimeout.Wrap(conn), nil
-}
-
-func (d dialer) DialTimeout(netw, address string, timeout time.Duration, cfg *tls.Config) (net.Conn, error) {
-	conn, err := d.Dialer.DialTimeout(netw, address, timeout, cfg)
-	if err != nil {
-		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
-	}
-	return conn, nil
-}
--- a/internal/readtimeout/readtimeout.go
+++ b/internal/hertzconn/conn.go
@@ -1,7 +1,8 @@
-// Package readtimeout makes the read timeout of a hertz client connection
+// Package hertzconn dials for hertz clients: it tells failed dials from failed
+// writes, and makes the read timeout of a connection
 // apply to each read. The standard connection of hertz turns the timeout into
 // one deadline, which ends a streamed reply that takes longer as a whole.
-package readtimeout
+package hertzconn
 
 import (
 	"time"
--- a/internal/readtimeout/readtimeout_test.go
+++ b/internal/hertzconn/conn_test.go
@@ -1,4 +1,4 @@
-package readtimeout_test
+package hertzconn_test
 
 import (
 	"net"
@@ -9,7 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	. "github.com/onsi/gomega"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/hertzconn"
 )
 
 const (
@@ -39,7 +39,7 @@
 	conn, err := standard.NewDialer().DialConnection("tcp", listener.Addr().String(), time.Second, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = conn.Close() })
-	return readtimeout.Wrap(conn)
+	return hertzconn.Wrap(conn)
 }
 
 // Guards against streams that are cut because they last longer than the time
--- a/internal/upstreamhttp/client.go
+++ b/internal/upstreamhttp/client.go
@@ -6,23 +6,19 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/hertzconn"
 )
 
 // ErrNotConnected means that no connection was made, so that no byte of the
 // request reached the upstream.
-var ErrNotConnected = errors.New("no connection to upstream")
+var ErrNotConnected = hertzconn.ErrNotConnected
 
 // HeaderRefused marks a reply by which an upstream refuses a request without
 // having executed it. Its value is the reason.
@@ -42,7 +38,7 @@
 // New returns a client with the given time to connect.
 func New(dialTimeout time.Duration) (*Client, error) {
 	c, err := client.NewClient(
-		client.WithDialer(dialer{standard.NewDialer()}),
+		client.WithDialer(hertzconn.NewDialer()),
 		client.WithDialTimeout(dialTimeout),
 		client.WithResponseBodyStream(true),
 		client.WithKeepAlive(false),
@@ -66,22 +62,3 @@
 	}
 	return c.http.Do(ctx, req, resp)
 }
-
-// dialer marks failed dials, which hertz otherwise reports like failed writes.
-type dialer struct{ network.Dialer }
-
-func (d dialer) DialConnection(netw, address string, timeout time.Duration, cfg *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(netw, address, timeout, cfg)
-	if err != nil {
-		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
-	}
-	return readtimeout.Wrap(conn), nil
-}
-
-func (d dialer) DialTimeout(netw, address string, timeout time.Duration, cfg *tls.Config) (net.Conn, error) {
-	conn, err := d.Dialer.DialTimeout(netw, address, timeout, cfg)
-	if err != nil {
-		return nil, errors.Wrapf(ErrNotConnected, "dial %s: %v", address, err)
-	}
-	return conn, nil
-}
--- a/pkg/client/transport.go
+++ b/pkg/client/transport.go
@@ -16,7 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/readtimeout"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/hertzconn"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
@@ -44,7 +44,7 @@
 		if err != nil {
 			return nil, &dialError{err}
 		}
-		return readtimeout.Wrap(conn), nil
+		return hertzconn.Wrap(conn), nil
 	}
 	t := &transport{options: o}
 	for keepAlive, target := range map[bool]**hertz.Client{true: &t.pooled, false: &t.single} {
