Leave versions that share upstreams to the operators

Cause: two versions with one set of upstreams give no labels for an instance of one of them, so an instance would be started and never registered. Change: such versions are not placed; a failing cloud is logged once; the jitter has a random seed; demand is tested.

--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
@@ -27,6 +28,7 @@
 		},
 	})
 	limits := planner.DefaultLimits()
+	limits.Seed = rand.Uint64()
 	limits.DefaultSlots = float64(d.settings.Platform.PlacementSlots)
 	one := placement.New(placement.Options{
 		Clock: d.clock, Log: d.log, Lease: d.placementLease, Cloud: d.cloud, Engines: d.engine, Objects: d.operator,
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -84,6 +84,7 @@
 	// the reading showed, by instance and address.
 	checked map[string]time.Time
 	loaded  map[string]bool
+	still   bool // the last reading failed
 }
 
 // New returns a duty that does nothing before Run.
@@ -121,8 +122,8 @@
 		d.checked, d.loaded = make(map[string]time.Time), make(map[string]bool)
 	}
 	state, err := d.gather(ctx)
+	d.noteReading(err)
 	if err != nil {
-		d.options.Log.Warn("placement holds still", "error", err.Error())
 		return
 	}
 	for _, a := range d.planner.Plan(state) {
@@ -132,6 +133,17 @@
 	}
 }
 
+// noteReading logs when the readings begin to fail and when they succeed again.
+func (d *Duty) noteReading(err error) {
+	switch {
+	case err != nil && !d.still:
+		d.options.Log.Warn("placement holds still", "error", err.Error())
+	case err == nil && d.still:
+		d.options.Log.Info("placement goes on")
+	}
+	d.still = err != nil
+}
+
 // execute carries out one action if the lease under which it was planned is
 // still valid, and reports whether it is.
 func (d *Duty) execute(ctx context.Context, a placement.Action) bool {
--- a/internal/placement/duty_test.go
+++ b/internal/placement/duty_test.go
@@ -280,6 +280,36 @@
 	g.Expect(err).To(MatchError(ContainSubstring("v3")))
 }
 
+// Guards against a new version that has no capacity when its traffic share
+// rises, and against waiting requests that count for idle versions.
+func TestDemands(t *testing.T) {
+	g := NewWithT(t)
+	d := newDuty(&token{7}, &fakeCloud{}, busyEngine{}, "m", clockwork.NewFakeClock())
+	d.options.Admission = func() admission.Stats { return admission.Stats{Waiting: 3} }
+	d.options.Daemons = func() int { return 2 }
+	labels := map[string]string{"version": "v3"}
+	all := snapshotWith("m").Set.All()
+	all = append(all,
+		&object.Object{Kind: object.KindUpstreamSelector, Metadata: object.Metadata{Name: "v3"},
+			Spec: &object.UpstreamSelector{Selector: object.Selector{MatchLabels: labels}}},
+		&object.Object{Kind: object.KindVersion, Metadata: object.Metadata{Name: "v3"}, Spec: &object.Version{Service: "chat", Selector: "v3"}},
+		&object.Object{Kind: object.KindRoute, Metadata: object.Metadata{Name: "r"},
+			Spec: &object.Route{Service: "chat", Shares: []object.Share{{Version: "v2", Percent: 100}}}})
+	for _, name := range []string{"a", "b"} {
+		all = append(all, &object.Object{Kind: object.KindUpstream, Metadata: object.Metadata{Name: name, Labels: map[string]string{"version": "v2"}},
+			Spec: &object.Upstream{Address: "127.0.0.1:1", DataCentre: "dc1"}})
+	}
+	usage := map[string]upstreams.Usage{"a": {Name: "a", InFlight: 2, Reported: 5}} // b is outside the subset
+	snapshot := config.NewSnapshot(object.NewSet(1, all...), "")
+	want := []placement.Demand{{Group: chat, SlotsInUse: 10, Waiting: 6, Floor: 1}, {Group: placement.Group{Service: "chat", Version: "v3"}}}
+	g.Expect(d.demands(snapshot, groupsOf(snapshot), usage)).To(Equal(want))
+	all = append(all, &object.Object{Kind: object.KindMove, Metadata: object.Metadata{Name: "m"},
+		Spec: &object.Move{Service: "chat", From: "v2", To: "v3", State: object.MoveOpen}})
+	snapshot = config.NewSnapshot(object.NewSet(1, all...), "")
+	want[1].Offered = 16
+	g.Expect(d.demands(snapshot, groupsOf(snapshot), usage)).To(Equal(want))
+}
+
 type busyEngine struct{ Engines }
 
 func (busyEngine) Load(context.Context, string) (engine.Load, error) {
--- a/internal/placement/gather.go
+++ b/internal/placement/gather.go
@@ -56,6 +56,7 @@
 }
 
 // groupsOf lists the versions of model services in the order of their names.
+// Versions that share upstreams with another one are left to the operators.
 func groupsOf(snapshot *config.Snapshot) []placement.Group {
 	var groups []placement.Group
 	snapshot.Set.Each(object.KindVersion, func(o *object.Object) {
@@ -64,8 +65,12 @@
 			return
 		}
 		service, _, ok := object.Lookup[*object.Service](snapshot.Set, object.KindService, version.Service)
-		if ok && service.Protocol == object.ProtocolOpenAI {
-			groups = append(groups, placement.Group{Service: version.Service, Version: o.Metadata.Name})
+		if !ok || service.Protocol != object.ProtocolOpenAI {
+			return
+		}
+		g := placement.Group{Service: version.Service, Version: o.Metadata.Name}
+		if _, err := labelsFor(snapshot, g); err == nil {
+			groups = append(groups, g)
 		}
 	})
 	sort.Slice(groups, func(i, j int) bool { return groups[i].Version < groups[j].Version })
--- a/internal/upstreams/usage.go
+++ b/internal/upstreams/usage.go
@@ -4,7 +4,7 @@
 
 // Usage is the work on one upstream.
 type Usage struct {
-	Name, Version string
+	Name string
 	// InFlight counts this daemon's attempts, Reported the running and waiting
 	// requests of all daemons in the newest load report.
 	InFlight, Reported int
@@ -22,7 +22,7 @@
 		status, known := d.tracker.Status(name)
 		load, _ := e.candidate.ReportedLoad()
 		list = append(list, Usage{
-			Name: name, Version: e.version, InFlight: e.candidate.InFlight(), Reported: load.Running + load.Waiting,
+			Name: name, InFlight: e.candidate.InFlight(), Reported: load.Running + load.Waiting,
 			Serving: known && status.Leaving == "" && status.Reason == health.ReasonNone,
 			Ejected: known && status.Leaving == "" && status.Reason != health.ReasonNone,
 		})
