Let upstreams follow their statechart

Cause: the chart of upstreams was drawn but not interpreted. Change: the directory fires its events from health and notices, logs each change of state and shows the state in the status answer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -185,7 +185,7 @@
 	d.checker = upstreamhttp.Checker{Client: client, Path: "/health"}
 	d.directory = upstreams.New(upstreams.Options{
 		Clock: d.clock, Self: d.id, DataCentre: d.settings.Daemon.DataCentre,
-		SubsetSize: d.settings.Upstreams.SubsetSize,
+		SubsetSize: d.settings.Upstreams.SubsetSize, Log: d.log,
 	})
 	d.admission = admission.New(admission.Config{Clock: d.clock, QueueLimit: d.settings.Limits.QueueLength})
 	return nil
--- a/internal/upstreams/attempt.go
+++ b/internal/upstreams/attempt.go
@@ -84,27 +84,13 @@
 		status, _ := d.tracker.Status(name)
 		list = append(list, operatorapi.UpstreamStatus{
 			Name: name, Address: e.spec.Address, DataCentre: e.spec.DataCentre,
-			State: stateOf(status), InFlight: e.candidate.InFlight(),
+			State: stateText(e.machine.State(), status), InFlight: e.candidate.InFlight(),
 			Limit: e.limits.Total(), Health: status.Weight,
 		})
 	}
 	return list
 }
 
-func stateOf(s health.Status) string {
-	switch {
-	case s.Leaving != "":
-		return "leaving: " + string(s.Leaving)
-	case s.Panicked:
-		return "unhealthy (kept by panic threshold): " + s.Reason.String()
-	case s.Reason != health.ReasonNone:
-		return "ejected: " + s.Reason.String()
-	case s.Weight < 1:
-		return "slow start"
-	}
-	return "ready"
-}
-
 // RefusalNotice is the leaving notice that an upstream gives by refusing work.
 func (a *Attempt) RefusalNotice() Notice {
 	return Notice{
--- a/internal/upstreams/directory.go
+++ b/internal/upstreams/directory.go
@@ -5,17 +5,20 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dogwoodrudder/dogwoodrudder/charts"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/config"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/admission"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/health"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/routing"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/statechart"
 )
 
 // Sizes of the prefix index.
@@ -31,6 +34,7 @@
 	Self       string // daemon ID
 	DataCentre string
 	SubsetSize int
+	Log        *slog.Logger // slog.Default if nil
 	// Picker replaces the affinity picker, for experiments.
 	Picker routing.Picker
 }
@@ -41,6 +45,7 @@
 	scheduler *routing.Scheduler
 	index     *routing.PrefixIndex
 	tracker   *health.Tracker
+	chart     *statechart.Chart
 
 	mu       sync.RWMutex
 	entries  map[string]*entry               // by upstream name
@@ -57,6 +62,7 @@
 	protocol  object.Protocol
 	version   string
 	revision  int64
+	machine   *statechart.Machine
 	leave     chan struct{} // closed when the upstream begins to leave
 	left      bool
 }
@@ -71,8 +77,16 @@
 	Deadline time.Time
 }
 
-// New returns an empty directory.
+// New returns an empty directory. It panics if the embedded chart of upstreams
+// is broken, which a test of the charts excludes.
 func New(options Options) *Directory {
+	chart, err := statechart.Load(charts.Files, "upstream")
+	if err != nil {
+		panic(err)
+	}
+	if options.Log == nil {
+		options.Log = slog.Default()
+	}
 	index := routing.NewPrefixIndex(prefixIndexBlocks)
 	scheduler := routing.NewDefault(options.Clock, index)
 	if options.Picker != nil {
@@ -82,7 +96,7 @@
 		})
 	}
 	return &Directory{
-		options: options, index: index, scheduler: scheduler,
+		options: options, index: index, scheduler: scheduler, chart: chart,
 		tracker:  health.New(health.Config{Clock: options.Clock}),
 		entries:  make(map[string]*entry),
 		versions: make(map[string][]*routing.Candidate),
@@ -119,6 +133,11 @@
 			members = append(members, e.member())
 		}
 	})
+	for name, old := range d.entries {
+		if entries[name] != old {
+			d.fire(old, eventRemoved)
+		}
+	}
 	d.entries, d.versions = entries, versions
 	d.mu.Unlock()
 	d.tracker.Sync(members)
@@ -168,7 +187,7 @@
 		}),
 		limits: admission.NewLimits(admission.LimiterConfig{Max: spec.MaxConcurrency}),
 		spec:   spec, service: service, version: version, revision: o.Metadata.Revision,
-		leave: make(chan struct{}),
+		leave: make(chan struct{}), machine: d.chart.Machine(),
 	}
 }
 
@@ -192,6 +211,7 @@
 		e.candidate.SetHealthWeight(status.Weight)
 		e.applyLimits()
 		e.setLeaving(status.Leaving != "")
+		d.follow(e, status)
 	}
 }
 
