--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/placement"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
 	planner "github.com/dogwoodrudder/dogwoodrudder/pkg/placement"
 )
@@ -35,6 +36,7 @@
 		Directory: d.directory, Config: d.config.Current, Admission: d.admission.Stats, Limits: limits,
 		Daemons: func() int { return alive(d.gossip.Members()) },
 	})
+	d.directory.OnNotice(func(upstreams.Notice) { one.Wake() })
 	return []duty.Duty{
 		{Name: "placement-lease", Run: d.placementLease.Run},
 		{Name: placement.Name, Run: one.Run},
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -30,6 +30,8 @@
 	// DefaultInterval is the time between two plans.
 	DefaultInterval = 3 * time.Second
 	callTimeout     = 3 * time.Second
+	// wakeDelay collects the notices of a wave into one plan.
+	wakeDelay = 200 * time.Millisecond
 	// roleBoth serves prefill and decoding.
 	roleBoth = "both"
 )
@@ -79,6 +81,7 @@
 type Duty struct {
 	options Options
 	planner *placement.Planner
+	wake    chan struct{}
 	token   int64 // of the lease under which planner was made
 	// checked is when an engine's control state was last read, and loaded what
 	// the reading showed, by instance and address.
@@ -92,7 +95,16 @@
 	if options.Interval <= 0 {
 		options.Interval = DefaultInterval
 	}
-	return &Duty{options: options}
+	return &Duty{options: options, wake: make(chan struct{}, 1)}
+}
+
+// Wake asks for a plan before the interval ends, for example after a reclaim
+// notice. It does not block.
+func (d *Duty) Wake() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run plans in each interval until ctx ends.
@@ -103,9 +115,11 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-d.wake:
+			d.options.Clock.Sleep(wakeDelay)
 		case <-ticker.Chan():
-			d.cycle(ctx)
 		}
+		d.cycle(ctx)
 	}
 }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -33,7 +33,7 @@
 		"Longest time from a stop signal to the exit.")
 	l.duration("daemon", "address_ttl", &d.AddressTTL, 10*time.Second, time.Second, 10*time.Minute,
 		"How long callers may keep an answer of /v1/address.")
-	l.integer("daemon", "duty_workers", &d.DutyWorkers, "workers", 32, 16, 256,
+	l.integer("daemon", "duty_workers", &d.DutyWorkers, "workers", 32, 20, 256,
 		"Size of the worker pool of the duties.")
 	l.integer("daemon", "upstream_calls", &d.UpstreamCalls, "calls", 2000, 16, 100000,
 		"Size of the worker pool of upstream calls.")
