--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/placement"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreams"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
 	planner "github.com/dogwoodrudder/dogwoodrudder/pkg/placement"
 )
@@ -27,12 +29,14 @@
 		},
 	})
 	limits := planner.DefaultLimits()
+	limits.Seed = rand.Uint64()
 	limits.DefaultSlots = float64(d.settings.Platform.PlacementSlots)
 	one := placement.New(placement.Options{
 		Clock: d.clock, Log: d.log, Lease: d.placementLease, Cloud: d.cloud, Engines: d.engine, Objects: d.operator,
 		Directory: d.directory, Config: d.config.Current, Admission: d.admission.Stats, Limits: limits,
 		Daemons: func() int { return alive(d.gossip.Members()) },
 	})
+	d.directory.OnNotice(func(upstreams.Notice) { one.Wake() })
 	return []duty.Duty{
 		{Name: "placement-lease", Run: d.placementLease.Run},
 		{Name: placement.Name, Run: one.Run},
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -30,6 +30,8 @@
 	// DefaultInterval is the time between two plans.
 	DefaultInterval = 3 * time.Second
 	callTimeout     = 3 * time.Second
+	// wakeDelay collects the notices of a wave into one plan.
+	wakeDelay = 200 * time.Millisecond
 	// roleBoth serves prefill and decoding.
 	roleBoth = "both"
 )
@@ -79,11 +81,13 @@
 type Duty struct {
 	options Options
 	planner *placement.Planner
+	wake    chan struct{}
 	token   int64 // of the lease under which planner was made
 	// checked is when an engine's control state was last read, and loaded what
 	// the reading showed, by instance and address.
 	checked map[string]time.Time
 	loaded  map[string]bool
+	still   bool // the last reading failed
 }
 
 // New returns a duty that does nothing before Run.
@@ -91,7 +95,16 @@
 	if options.Interval <= 0 {
 		options.Interval = DefaultInterval
 	}
-	return &Duty{options: options}
+	return &Duty{options: options, wake: make(chan struct{}, 1)}
+}
+
+// Wake asks for a plan before the interval ends, for example after a reclaim
+// notice. It does not block.
+func (d *Duty) Wake() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run plans in each interval until ctx ends.
@@ -102,9 +115,11 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-d.wake:
+			d.options.Clock.Sleep(wakeDelay)
 		case <-ticker.Chan():
-			d.cycle(ctx)
 		}
+		d.cycle(ctx)
 	}
 }
 
@@ -121,8 +136,8 @@
 		d.checked, d.loaded = make(map[string]time.Time), make(map[string]bool)
 	}
 	state, err := d.gather(ctx)
+	d.noteReading(err)
 	if err != nil {
-		d.options.Log.Warn("placement holds still", "error", err.Error())
 		return
 	}
 	for _, a := range d.planner.Plan(state) {
@@ -132,6 +147,17 @@
 	}
 }
 
+// noteReading logs when the readings begin to fail and when they succeed again.
+func (d *Duty) noteReading(err error) {
+	switch {
+	case err != nil && !d.still:
+		d.options.Log.Warn("placement holds still", "error", err.Error())
+	case err == nil && d.still:
+		d.options.Log.Info("placement goes on")
+	}
+	d.still = err != nil
+}
+
 // execute carries out one action if the lease under which it was planned is
 // still valid, and reports whether it is.
 func (d *Duty) execute(ctx context.Context, a placement.Action) bool {
