Publish upstream status in one place and read defaults from the settings

Ruled out: dropping the bounded wait for duties at the exit; only its comment was outdated. Change: entry.publish serves both; Options.Picker, Tracker and CachedBlocks are gone; the capacity program uses the parsed default settings and two exported constants. Conclusion: no change of behaviour.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -387,8 +387,8 @@
 	d.log.Info("daemon stopped")
 }
 
-// dutyStopTimeout bounds the wait for duties at the exit. An HTTP call does
-// not end with its context; a long poll for notices takes up to noticePoll.
+// dutyStopTimeout bounds the wait for duties at the exit, in case one of them
+// is in a call that does not end with its context.
 const dutyStopTimeout = time.Second
 
 func (d *Daemon) waitDuties() {
--- a/internal/daemon/rings.go
+++ b/internal/daemon/rings.go
@@ -44,15 +44,15 @@
 	metrics.GetOrCreateGauge("rudder_ring_dropped"+label, func() float64 { return float64(r.Dropped()) })
 }
 
-// concurrentNotices is the number of notices that are pushed at once. Pushes to
+// ConcurrentNotices is the number of notices that are pushed at once. Pushes to
 // the same daemon share messages, so that a data centre's worth of notices takes
 // few round trips.
-const concurrentNotices = 64
+const ConcurrentNotices = 64
 
 // runNoticeShare pushes upstream notices to the other daemons.
 func (d *Daemon) runNoticeShare(ctx context.Context) error {
 	var group errgroup.Group
-	group.SetLimit(concurrentNotices)
+	group.SetLimit(ConcurrentNotices)
 	for {
 		item, ok := d.rings.notices.Get(ctx)
 		if !ok {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -185,10 +185,10 @@
 
 const (
 	sweepInterval = time.Second
-	// deliveredWindow is how long a delivered answer is kept for a caller whose
+	// DeliveredWindow is how long a delivered answer is kept for a caller whose
 	// connection broke after the last write. At 50 requests a second, keeping
 	// them for the whole resume window took 160 MB.
-	deliveredWindow = 5 * time.Second
+	DeliveredWindow = 5 * time.Second
 )
 
 // RunSweep removes finished requests and cancels abandoned ones until ctx ends.
@@ -201,7 +201,7 @@
 			return ctx.Err()
 		case <-ticker.Chan():
 			now := p.options.Clock.Now()
-			p.registry.sweep(now.Add(-p.options.ResumeWindow), now.Add(-min(deliveredWindow, p.options.ResumeWindow)))
+			p.registry.sweep(now.Add(-p.options.ResumeWindow), now.Add(-min(DeliveredWindow, p.options.ResumeWindow)))
 		}
 	}
 }
--- a/internal/upstreams/attempt.go
+++ b/internal/upstreams/attempt.go
@@ -62,17 +62,9 @@
 			a.directory.tracker.Observe(a.Name, health.Outcome{Latency: a.first})
 		}
 	}
-	a.directory.publish(a.entry)
-}
-
-// publish copies the health of one upstream to its candidate.
-func (d *Directory) publish(e *entry) {
-	status, ok := d.tracker.Status(e.candidate.Name)
-	if !ok {
-		return
+	if status, ok := a.directory.tracker.Status(a.Name); ok {
+		a.entry.publish(status)
 	}
-	e.candidate.SetHealthWeight(status.Weight)
-	e.applyLimits()
 }
 
 // Status lists the upstreams for the operators' API.
--- a/internal/upstreams/directory.go
+++ b/internal/upstreams/directory.go
@@ -35,15 +35,12 @@
 	DataCentre string
 	SubsetSize int
 	Log        *slog.Logger // slog.Default if nil
-	// Picker replaces the affinity picker, for experiments.
-	Picker routing.Picker
 }
 
 // Directory is safe for concurrent use.
 type Directory struct {
 	options   Options
 	scheduler *routing.Scheduler
-	index     *routing.PrefixIndex
 	tracker   *health.Tracker
 	chart     *statechart.Chart
 
@@ -90,25 +87,16 @@
 		options.Log = slog.Default()
 	}
 	index := routing.NewPrefixIndex(prefixIndexBlocks)
-	scheduler := routing.NewDefault(options.Clock, index)
-	if options.Picker != nil {
-		scheduler = routing.New(routing.Config{
-			Clock: options.Clock, Index: index, Filters: routing.StandardFilters(),
-			Scorers: routing.StandardScorers(), Picker: options.Picker,
-		})
-	}
 	return &Directory{
-		options: options, index: index, scheduler: scheduler, chart: chart,
-		tracker:  health.New(health.Config{Clock: options.Clock}),
-		entries:  make(map[string]*entry),
-		versions: make(map[string][]*routing.Candidate),
-		leaving:  make(map[string]Notice),
+		options: options, chart: chart,
+		scheduler: routing.NewDefault(options.Clock, index),
+		tracker:   health.New(health.Config{Clock: options.Clock}),
+		entries:   make(map[string]*entry),
+		versions:  make(map[string][]*routing.Candidate),
+		leaving:   make(map[string]Notice),
 	}
 }
 
-// Tracker returns the health tracker, for the active checks.
-func (d *Directory) Tracker() *health.Tracker { return d.tracker }
-
 // OnNotice registers a function that is called with every new leaving notice.
 func (d *Directory) OnNotice(f func(Notice)) {
 	d.mu.Lock()
@@ -235,8 +223,7 @@
 		if !ok {
 			continue
 		}
-		e.candidate.SetHealthWeight(status.Weight)
-		e.applyLimits()
+		e.publish(status)
 		e.setLeaving(status.Leaving != "")
 		d.follow(e, status)
 	}
@@ -280,7 +267,9 @@
 	return n, ok
 }
 
-func (e *entry) applyLimits() {
+// publish copies health and limits to the candidate.
+func (e *entry) publish(status health.Status) {
+	e.candidate.SetHealthWeight(status.Weight)
 	e.candidate.SetLimit(e.limits.Total())
 	e.candidate.SetLongLimit(e.limits.Long())
 }
@@ -307,8 +296,6 @@
 	Version    string
 	// Leaving is closed when the upstream begins to leave.
 	Leaving <-chan struct{}
-	// CachedBlocks is the presumed number of cached prompt blocks.
-	CachedBlocks int
 
 	directory *Directory
 	entry     *entry
@@ -340,7 +327,7 @@
 	return &Attempt{
 		Name: decision.Candidate.Name, Address: decision.Candidate.Address,
 		DataCentre: decision.Candidate.DataCentre, Version: r.Version,
-		Leaving: e.leave, CachedBlocks: decision.CachedBlocks,
+		Leaving:   e.leave,
 		directory: d, entry: e, counting: e.candidate.Begin(r.Class, decision.Work),
 		class: r.Class, work: decision.Work, started: d.options.Clock.Now(),
 	}, nil
--- a/test/capacity/burst.go
+++ b/test/capacity/burst.go
@@ -10,14 +10,12 @@
 	"golang.org/x/sync/errgroup"
 
 	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/daemon"
 )
 
 // upstreamsPerDaemon is 12,000 upstreams over 420 daemons.
 const upstreamsPerDaemon = 12_000.0 / 420
 
-// concurrentNotices is that of internal/daemon.
-const concurrentNotices = 64
-
 // measureBurst measures the notices of a data centre's upstreams from one
 // daemon that follows the cloud. All 40 such daemons would take minutes of
 // processor time, because the whole fleet shares one machine here.
@@ -53,7 +51,7 @@
 func pushNotices(ctx context.Context, origin *member, count int) {
 	now := time.Now()
 	var group errgroup.Group
-	group.SetLimit(concurrentNotices)
+	group.SetLimit(daemon.ConcurrentNotices)
 	for i := range count {
 		item := &peerv1.Item{Kind: &peerv1.Item_UpstreamNotice{UpstreamNotice: &peerv1.UpstreamNotice{
 			Upstream: fmt.Sprintf("engine-%05d", i), Address: fmt.Sprintf("10.0.%d.%d:8000", i/256, i%256), Cause: "reclaim notice",
--- a/test/capacity/configcost.go
+++ b/test/capacity/configcost.go
@@ -18,9 +18,6 @@
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/object"
 )
 
-// subsetSize is the default of the setting upstreams/subset_size.
-const subsetSize = 256
-
 // changesPerSecond is the mean rate at 47,000 changes a day.
 const changesPerSecond = 47_000.0 / 86_400
 
@@ -137,7 +134,7 @@
 	return nil
 }
 
-func newDirectory() *upstreams.Directory { return newDirectorySized(subsetSize) }
+func newDirectory() *upstreams.Directory { return newDirectorySized(defaults.Upstreams.SubsetSize) }
 
 func newDirectorySized(subset int) *upstreams.Directory {
 	return upstreams.New(upstreams.Options{
--- a/test/capacity/lightdaemon.go
+++ b/test/capacity/lightdaemon.go
@@ -29,7 +29,7 @@
 // newRequestPath builds a request path whose upstreams all have one address.
 func newRequestPath(e engine.Engine, address string) (*requestPath, error) {
 	// One version, so that the streams spread over a whole subset.
-	objects := fleetOf(subsetSize, 1, 1)
+	objects := fleetOf(defaults.Upstreams.SubsetSize, 1, 1)
 	for _, o := range objects {
 		if u, ok := o.Spec.(*object.Upstream); ok {
 			u.Address = address
@@ -56,7 +56,7 @@
 		Versions:  &proxy.RouteVersions{Config: manager.Current},
 		Engine:    e, Config: manager.Current, Observe: func(proxy.Observation) {}, Calls: calls,
 		RequestTimeout: time.Minute, FirstByteTimeout: 10 * time.Second, TokenTimeout: 10 * time.Second,
-		MigrationDeadline: time.Second, ResumeWindow: resumeWindow,
+		MigrationDeadline: time.Second, ResumeWindow: defaults.Limits.ResumeWindow,
 		MaxStreamBytes: 8 << 20,
 	})
 	return &requestPath{manager, p, calls}, err
--- a/test/capacity/storecost.go
+++ b/test/capacity/storecost.go
@@ -21,13 +21,6 @@
 	storeReads  = store.FleetReadsPerSecond
 )
 
-// Defaults of the settings store/writes_per_second and reads_per_second, which
-// the daemon takes as limits of the whole fleet.
-const (
-	defaultFleetWrites = 300
-	defaultFleetReads  = 1500
-)
-
 // loadRetryInterval is the pause of a daemon that has no configuration yet
 // between two reads (internal/daemon).
 const loadRetryInterval = time.Second
@@ -63,12 +56,12 @@
 func measureShares(r *run) {
 	for _, n := range daemonSizes {
 		b := store.NewBudget(idleStore{}, store.BudgetOptions{
-			WritesPerSecond: defaultFleetWrites, ReadsPerSecond: defaultFleetReads, Daemons: n,
+			WritesPerSecond: defaults.Store.WritesPerSecond, ReadsPerSecond: defaults.Store.ReadsPerSecond, Daemons: n,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := b.Watch(ctx, "/", 0)
 		_, reads := b.Share()
-		for i := 0; i < 100 && reads == defaultFleetReads/float64(n); i++ { // until the watch counts
+		for i := 0; i < 100 && reads == defaults.Store.ReadsPerSecond/float64(n); i++ { // until the watch counts
 			time.Sleep(time.Millisecond)
 			_, reads = b.Share()
 		}
--- a/test/capacity/streamcost.go
+++ b/test/capacity/streamcost.go
@@ -84,18 +84,12 @@
 	r.atMost("stream: memory of the in-flight records of 600 streams, half of 430 tokens emitted",
 		perStream*streamsInFlight/1e6, controlMemory/1e6, "MB")
 	// A finished record stays for the delivered window after its reader left.
-	finished := memory.slope * meanAnswerTokens * requestsPerDaemon * deliveredWindow.Seconds()
+	finished := memory.slope * meanAnswerTokens * requestsPerDaemon * proxy.DeliveredWindow.Seconds()
 	r.atMost("stream: memory of the finished records, kept for 5 s after delivery, events only, extrapolated",
 		finished/1e6, controlMemory/1e6, "MB")
 	return nil
 }
 
-// resumeWindow is the default of the setting limits/resume_window.
-const resumeWindow = 30 * time.Second
-
-// deliveredWindow is that of internal/proxy for answers that a reader has got.
-const deliveredWindow = 5 * time.Second
-
 // Load of one daemon at the target.
 const (
 	tokensPerDaemon  = 9e6 / 420
