--- a/cmd/rudderd/main.go
+++ b/cmd/rudderd/main.go
@@ -17,6 +17,7 @@
 
 type commands struct {
 	Run           runCmd   `cmd:"" help:"Run the daemon until SIGTERM."`
+	Edge          edgeCmd  `cmd:"" help:"Run the daemon of a deployment on the users' platform until SIGTERM."`
 	CheckSettings checkCmd `cmd:"" help:"Check a settings file and exit."`
 }
 
--- /dev/null
+++ b/internal/coordination/agent.go
@@ -0,0 +1,290 @@
+// Package coordination divides what holds for all daemons together: account
+// quotas, usage counts and the load of instances. Each daemon's Agent reports
+// to the Coordinator of the daemon that holds the duty, and works on with safe
+// shares while there is none.
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+)
+
+const (
+	// reportInterval is the time between two reports. A daemon that dies loses
+	// the usage counts since its last report.
+	reportInterval = 250 * time.Millisecond
+	// reportTimeout bounds a report; it is far above a round trip between data centres.
+	reportTimeout = 400 * time.Millisecond
+	// borrowTimeout bounds how long a request waits for quota.
+	borrowTimeout = 120 * time.Millisecond
+	// creditHorizon is the demand for which credit is kept at the daemon.
+	creditHorizon = 600 * time.Millisecond
+	// demandGain smooths the demand between reports.
+	demandGain = 0.25
+	// contactLimit is the age of the last answer after which the coordinator
+	// counts as unreachable.
+	contactLimit = time.Second
+	// fallbackShare is the part of a daemon's equal share of a quota that it
+	// uses without a coordinator.
+	fallbackShare = 0.7
+	// fallbackDepth is the time for which unused fallback share is saved up.
+	fallbackDepth = 2 * time.Second
+	// quotaRetry is the advice to a client whose account has no quota left.
+	quotaRetry = 500 * time.Millisecond
+	// keptWindows is the number of usage windows that are reported again and
+	// again, so that a new coordinator learns them.
+	keptWindows = 4
+)
+
+// Link reaches the coordinator.
+type Link interface {
+	// Coordinator returns a client of the current coordinator, or false.
+	Coordinator() (coordinatorv1.CoordinatorClient, bool)
+}
+
+// AgentConfig holds the parameters of an Agent.
+type AgentConfig struct {
+	Daemon      string // name and incarnation
+	Log         *slog.Logger
+	Link        Link
+	Instances   *fleet.Set
+	Daemons     func() int // number of live daemons
+	Civil       func() time.Time
+	Now         func() time.Duration // suspensions included
+	UsageWindow time.Duration
+	// SlackShare is the part of the quota slack that this daemon may use
+	// without a coordinator, in cost units.
+	SlackShare func() float64
+	// Demand returns the service demand to report.
+	Demand func() []*coordinatorv1.ServiceDemand
+	// OnResponse is called with each answer.
+	OnResponse func(*coordinatorv1.ReportResponse)
+}
+
+// Agent is a daemon's side. It implements relay.Quota and relay.Meter.
+type Agent struct {
+	config AgentConfig
+
+	mu       sync.Mutex
+	sequence int64
+	credits  map[string]*credit
+	windows  map[int64]map[string]int64
+	contact  time.Duration // of the last answer; 0 means never
+	linked   bool
+}
+
+// credit is the quota of one account that the daemon may use.
+type credit struct {
+	units    float64
+	asked    float64 // demand since the last report
+	demand   float64 // per second
+	fallback float64
+	refilled time.Duration
+}
+
+// NewAgent returns an agent without credit.
+func NewAgent(config AgentConfig) *Agent {
+	return &Agent{config: config, credits: map[string]*credit{}, windows: map[int64]map[string]int64{}}
+}
+
+// Run reports until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			a.report(ctx)
+		}
+	}
+}
+
+func (a *Agent) report(ctx context.Context) {
+	request := a.makeReport()
+	client, ok := a.config.Link.Coordinator()
+	if !ok {
+		a.lost("no coordinator is known")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	response, err := client.Report(ctx, request)
+	if err != nil {
+		a.lost(err.Error())
+		return
+	}
+	a.accept(response)
+}
+
+// lost notes that the coordinator doesn't answer, once an outage.
+func (a *Agent) lost(reason string) {
+	metrics.GetOrCreateCounter("rudder_coordination_reports_failed_total").Inc()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.linked && a.config.Now()-a.contact > contactLimit {
+		a.linked = false
+		a.config.Log.Warn("dependency lost", "dependency", "coordinator", "reason", reason)
+		a.config.Instances.SetElsewhere(nil)
+	}
+}
+
+func (a *Agent) makeReport() *coordinatorv1.ReportRequest {
+	a.mu.Lock()
+	a.sequence++
+	request := &coordinatorv1.ReportRequest{Daemon: a.config.Daemon, Sequence: a.sequence}
+	for name, c := range a.credits {
+		rate := c.asked / reportInterval.Seconds()
+		c.demand += demandGain * (rate - c.demand)
+		c.asked = 0
+		d := &coordinatorv1.AccountDemand{Account: name, DemandPerSecond: c.demand}
+		target := c.demand * creditHorizon.Seconds()
+		switch {
+		case c.units < target:
+			d.Wanted = target - c.units
+		case c.units > 2*target:
+			d.Returned = c.units - target
+			c.units = target
+		}
+		request.Accounts = append(request.Accounts, d)
+	}
+	for window, counts := range a.windows {
+		for account, count := range counts {
+			request.Windows = append(request.Windows, &coordinatorv1.WindowCount{Window: window, Account: account, Count: count})
+		}
+	}
+	a.mu.Unlock()
+	for id, load := range a.config.Instances.Loads() {
+		request.Loads = append(request.Loads, &coordinatorv1.InstanceLoad{
+			Instance: id, Inflight: int32(load.Inflight), PrefillTokens: int32(load.Prefill),
+		})
+	}
+	request.Services = a.config.Demand()
+	return request
+}
+
+func (a *Agent) accept(response *coordinatorv1.ReportResponse) {
+	a.mu.Lock()
+	a.contact = a.config.Now()
+	if !a.linked {
+		a.linked = true
+		a.config.Log.Info("dependency regained", "dependency", "coordinator", "token", response.Token)
+	}
+	for _, grant := range response.Grants {
+		a.creditOf(grant.Account).units += grant.Units
+	}
+	a.mu.Unlock()
+	loads := make(map[string]fleet.Load, len(response.Loads))
+	for _, l := range response.Loads {
+		loads[l.Instance] = fleet.Load{Inflight: int(l.Inflight), Prefill: int(l.PrefillTokens)}
+	}
+	a.config.Instances.SetElsewhere(loads)
+	a.config.OnResponse(response)
+}
+
+func (a *Agent) creditOf(account string) *credit {
+	c := a.credits[account]
+	if c == nil {
+		c = &credit{refilled: a.config.Now()}
+		a.credits[account] = c
+	}
+	return c
+}
+
+// Take implements relay.Quota.
+func (a *Agent) Take(ctx context.Context, account *traffic.Account, cost float64) (bool, time.Duration) {
+	a.mu.Lock()
+	c := a.creditOf(account.Name)
+	c.asked += cost
+	if c.units >= cost {
+		c.units -= cost
+		a.mu.Unlock()
+		return true, 0
+	}
+	missing := cost - c.units
+	linked := a.linked && a.config.Now()-a.contact < contactLimit
+	a.mu.Unlock()
+	if linked {
+		if answered, granted, wait := a.borrow(ctx, account, cost, missing); answered {
+			return granted, wait
+		}
+	}
+	return a.takeFallback(account, cost)
+}
+
+// borrow asks the coordinator for what is missing.
+func (a *Agent) borrow(ctx context.Context, account *traffic.Account, cost, missing float64) (answered, granted bool, wait time.Duration) {
+	client, ok := a.config.Link.Coordinator()
+	if !ok {
+		return false, false, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	response, err := client.Borrow(ctx, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account.Name, Units: missing})
+	if err != nil {
+		return false, false, 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.creditOf(account.Name)
+	c.units += response.Units
+	if c.units >= cost {
+		c.units -= cost
+		return true, true, 0
+	}
+	return true, false, max(time.Duration(response.WaitMs)*time.Millisecond, quotaRetry/5)
+}
+
+// takeFallback uses the daemon's equal share.
+func (a *Agent) takeFallback(account *traffic.Account, cost float64) (bool, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.creditOf(account.Name)
+	daemons := float64(max(a.config.Daemons(), 1))
+	rate := account.Rate * fallbackShare / daemons
+	now := a.config.Now()
+	depth := rate * fallbackDepth.Seconds()
+	c.fallback = min(c.fallback+rate*(now-c.refilled).Seconds(), depth)
+	c.refilled = now
+	// A request larger than the share's depth must pass once the share has saved up.
+	if c.fallback+c.units+a.config.SlackShare() < cost && c.fallback < depth {
+		return false, quotaRetry
+	}
+	c.fallback -= cost - c.units
+	c.units = 0
+	return true, 0
+}
+
+// Return implements relay.Quota.
+func (a *Agent) Return(account *traffic.Account, cost float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.creditOf(account.Name).units += cost
+}
+
+// Began implements relay.Meter.
+func (a *Agent) Began(account string) {
+	window := a.config.Civil().UnixNano() / int64(a.config.UsageWindow)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counts := a.windows[window]
+	if counts == nil {
+		counts = map[string]int64{}
+		a.windows[window] = counts
+		for old := range a.windows {
+			if old <= window-keptWindows {
+				delete(a.windows, old)
+			}
+		}
+	}
+	counts[account]++
+}
--- /dev/null
+++ b/internal/coordination/coordinator.go
@@ -0,0 +1,264 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+)
+
+const (
+	// startLevel is the part of the burst with which a bucket starts: the
+	// coordinator before may have granted the rest.
+	startLevel = 0.5
+	// silentAfter is the age of a report after which its daemon counts as silent.
+	silentAfter = time.Second
+	// forgetAfter is the age of a report after which its usage counts are dropped.
+	forgetAfter = 60 * time.Second
+)
+
+// CoordinatorConfig holds the parameters of a Coordinator.
+type CoordinatorConfig struct {
+	Log *slog.Logger
+	// Token returns the fencing token of the duty, 0 while it isn't held.
+	Token func() int64
+	Table func() *traffic.Table
+	Now   func() time.Duration // suspensions included
+	// Daemons returns the number of live daemons.
+	Daemons func() int
+	// Rollouts returns the state of moves between versions.
+	Rollouts func() []*coordinatorv1.RolloutState
+}
+
+// Coordinator answers the agents while the daemon holds the duty.
+type Coordinator struct {
+	coordinatorv1.UnimplementedCoordinatorServer
+	config CoordinatorConfig
+
+	mu      sync.Mutex
+	token   int64 // for which the state below was gathered
+	buckets map[string]*bucket
+	reports map[string]*daemonReport
+}
+
+// bucket is the quota of an account that isn't granted yet.
+type bucket struct {
+	level  float64
+	filled time.Duration
+}
+
+// daemonReport is the latest report of a daemon.
+type daemonReport struct {
+	sequence int64
+	at       time.Duration
+	loads    []*coordinatorv1.InstanceLoad
+	services []*coordinatorv1.ServiceDemand
+	evidence []*coordinatorv1.VersionEvidence
+	windows  map[int64]map[string]int64
+}
+
+// NewCoordinator returns a coordinator that refuses calls until Token is set.
+func NewCoordinator(config CoordinatorConfig) *Coordinator {
+	return &Coordinator{config: config, buckets: map[string]*bucket{}, reports: map[string]*daemonReport{}}
+}
+
+// hold checks the duty and starts afresh after it changed hands. The caller
+// holds the lock.
+func (c *Coordinator) hold() error {
+	token := c.config.Token()
+	if token == 0 {
+		return status.Error(codes.FailedPrecondition, "this daemon is not the coordinator")
+	}
+	if token != c.token {
+		c.token = token
+		c.buckets = map[string]*bucket{}
+		c.reports = map[string]*daemonReport{}
+	}
+	return nil
+}
+
+// Report implements coordinatorv1.CoordinatorServer.
+func (c *Coordinator) Report(_ context.Context, r *coordinatorv1.ReportRequest) (*coordinatorv1.ReportResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.hold(); err != nil {
+		return nil, err
+	}
+	c.keep(r)
+	response := &coordinatorv1.ReportResponse{Token: c.token, Loads: c.loadsOfOthers(r.Daemon), Rollouts: c.config.Rollouts()}
+	table := c.config.Table()
+	if table == nil {
+		return response, nil
+	}
+	for _, d := range r.Accounts {
+		b, account := c.bucketOf(table, d.Account)
+		if b == nil {
+			continue
+		}
+		b.level = min(b.level+d.Returned, account.Burst)
+		units := max(min(d.Wanted, b.level/2), 0)
+		if units > 0 {
+			b.level -= units
+			response.Grants = append(response.Grants, &coordinatorv1.Grant{Account: d.Account, Units: units})
+		}
+	}
+	return response, nil
+}
+
+// Borrow implements coordinatorv1.CoordinatorServer. A request larger than the
+// level passes while there is any, and the bucket falls below zero.
+func (c *Coordinator) Borrow(_ context.Context, r *coordinatorv1.BorrowRequest) (*coordinatorv1.BorrowResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.hold(); err != nil {
+		return nil, err
+	}
+	table := c.config.Table()
+	if table == nil {
+		return nil, status.Error(codes.Unavailable, "no configuration")
+	}
+	b, account := c.bucketOf(table, r.Account)
+	if b == nil {
+		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
+	}
+	if b.level > 0 {
+		b.level -= r.Units
+		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
+	}
+	wait := time.Duration(-b.level / account.Rate * float64(time.Second))
+	return &coordinatorv1.BorrowResponse{WaitMs: max(wait, quotaRetry/5).Milliseconds()}, nil
+}
+
+// keep stores the newest report of a daemon.
+func (c *Coordinator) keep(r *coordinatorv1.ReportRequest) {
+	report := c.reports[r.Daemon]
+	if report == nil {
+		report = &daemonReport{windows: map[int64]map[string]int64{}}
+		c.reports[r.Daemon] = report
+	}
+	if r.Sequence <= report.sequence {
+		return
+	}
+	report.sequence, report.at = r.Sequence, c.config.Now()
+	report.loads, report.services, report.evidence = r.Loads, r.Services, r.Evidence
+	for _, w := range r.Windows {
+		counts := report.windows[w.Window]
+		if counts == nil {
+			counts = map[string]int64{}
+			report.windows[w.Window] = counts
+		}
+		counts[w.Account] = max(counts[w.Account], w.Count)
+	}
+	for name, old := range c.reports {
+		if c.config.Now()-old.at > forgetAfter {
+			delete(c.reports, name)
+		}
+	}
+}
+
+// bucketOf refills the bucket of an account. It returns nil if the account has
+// no limit.
+func (c *Coordinator) bucketOf(table *traffic.Table, name string) (*bucket, *traffic.Account) {
+	account := table.Accounts[name]
+	if account == nil || account.Rate <= 0 {
+		return nil, nil
+	}
+	now := c.config.Now()
+	b := c.buckets[name]
+	if b == nil {
+		b = &bucket{level: account.Burst * startLevel, filled: now}
+		c.buckets[name] = b
+	}
+	b.level = min(b.level+account.Rate*c.refillShare()*(now-b.filled).Seconds(), account.Burst)
+	b.filled = now
+	return b, account
+}
+
+// refillShare leaves out what silent daemons may use by themselves.
+func (c *Coordinator) refillShare() float64 {
+	daemons := max(c.config.Daemons(), 1)
+	reporting := 0
+	for _, report := range c.reports {
+		if c.config.Now()-report.at < silentAfter {
+			reporting++
+		}
+	}
+	silent := max(daemons-reporting, 0)
+	return 1 - fallbackShare*float64(silent)/float64(daemons)
+}
+
+// loadsOfOthers sums the load of all daemons but one.
+func (c *Coordinator) loadsOfOthers(daemon string) []*coordinatorv1.InstanceLoad {
+	sums := map[string]*coordinatorv1.InstanceLoad{}
+	for name, report := range c.reports {
+		if name == daemon || c.config.Now()-report.at > silentAfter {
+			continue
+		}
+		for _, l := range report.loads {
+			sum := sums[l.Instance]
+			if sum == nil {
+				sum = &coordinatorv1.InstanceLoad{Instance: l.Instance}
+				sums[l.Instance] = sum
+			}
+			sum.Inflight += l.Inflight
+			sum.PrefillTokens += l.PrefillTokens
+		}
+	}
+	list := make([]*coordinatorv1.InstanceLoad, 0, len(sums))
+	for _, sum := range sums {
+		list = append(list, sum)
+	}
+	return list
+}
+
+// Counts returns the usage of a window by account, summed over all daemons.
+func (c *Coordinator) Counts(window int64) map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := map[string]int64{}
+	for _, report := range c.reports {
+		for account, count := range report.windows[window] {
+			total[account] += count
+		}
+	}
+	return total
+}
+
+// Demand is what clients ask of a service, summed over all daemons.
+type Demand struct {
+	Busy    float64 // instance seconds a second
+	Refused float64 // requests a second
+}
+
+// Demands returns the demand by service, and the load by instance.
+func (c *Coordinator) Demands() (map[string]Demand, map[string]fleet.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	demands := map[string]Demand{}
+	loads := map[string]fleet.Load{}
+	for _, report := range c.reports {
+		if c.config.Now()-report.at > silentAfter {
+			continue
+		}
+		for _, s := range report.services {
+			d := demands[s.Service]
+			d.Busy += s.Busy
+			d.Refused += s.RefusedPerSecond
+			demands[s.Service] = d
+		}
+		for _, l := range report.loads {
+			load := loads[l.Instance]
+			load.Inflight += int(l.Inflight)
+			load.Prefill += int(l.PrefillTokens)
+			loads[l.Instance] = load
+		}
+	}
+	return demands, loads
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,249 @@
+// Package edge assembles the daemon that serves callers from the platform's
+// store: it follows the store, forwards requests, and takes part in the
+// coordination and the single-writer duties.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/metering"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/relay"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
+)
+
+// Platform is what the daemon needs of the users' platform.
+type Platform struct {
+	Store     mirror.Poller
+	Cloud     cloudduty.Caller
+	Reader    Reader
+	Wire      relay.Wire
+	Ready     func(ready func() bool) http.Handler
+	Directory func(addresses func(dataCentre string, limit int) []string, ttl time.Duration) http.Handler
+}
+
+const (
+	// pollWait is the longest wait of a poll: it bounds the age of the
+	// configuration's proof and costs one call per daemon.
+	pollWait = 2 * time.Second
+	// keyMargin is what is left of the revocation bound for a request that
+	// has passed the check.
+	keyMargin = 500 * time.Millisecond
+	// dialTimeout bounds a connection to an instance; nothing was sent then,
+	// so that another instance can be tried.
+	dialTimeout = 300 * time.Millisecond
+	// ackTimeout breaks connections to silent instances.
+	ackTimeout = 1500 * time.Millisecond
+	// idleLimit and maxIdle bound kept connections to an instance.
+	idleLimit = 10 * time.Second
+	maxIdle   = 16
+	// healthInterval is the time between two evaluations of the instances' health.
+	healthInterval = 500 * time.Millisecond
+	// dutyWorkers is the size of the pool: one worker for each duty.
+	dutyWorkers = 24
+	// peerIdle closes connections to earlier coordinators.
+	peerIdle = 30 * time.Second
+	usageKey = "rudder/usage"
+)
+
+// Daemon is one edge daemon.
+type Daemon struct {
+	settings *settings.Edge
+	platform Platform
+	log      *slog.Logger
+	clock    clockwork.Clock
+
+	instances   *fleet.Set
+	members     *members
+	link        *link
+	state       *state
+	mirror      *mirror.Mirror
+	peers       *peer.Pool
+	holder      *lease.Holder
+	coordinator *coordination.Coordinator
+	agent       *coordination.Agent
+	reporter    *metering.Reporter
+	relay       *relay.Relay
+	civil       *bootclock.Civil
+
+	draining atomic.Bool
+	refusing atomic.Bool
+}
+
+// New returns a daemon that does nothing until Run.
+func New(s *settings.Edge, p Platform, log *slog.Logger) *Daemon {
+	d := &Daemon{settings: s, platform: p, log: log, clock: clockwork.NewRealClock(), civil: bootclock.NewCivil()}
+	d.instances = fleet.NewSet(d.clock, log)
+	d.members = newMembers(p.Store, log, member{
+		Name: s.Name, Incarnation: d.civil.Now().UnixMilli(), DataCentre: s.DataCentre,
+		Callers: s.CallersAddress, Coordinator: s.CoordinatorAddress,
+	})
+	d.peers = peer.NewPool(peerIdle, time.Now)
+	d.link = &link{self: s.CoordinatorAddress, peers: d.peers}
+	d.state = &state{
+		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyOther,
+	}
+	d.mirror = mirror.New(mirror.Config{
+		Store: p.Store, Log: log, Wait: pollWait, Now: bootclock.Now, Lenient: d.state.lenient, OnChange: d.state.apply,
+	})
+	d.state.mirror = d.mirror
+	d.holder = lease.New(lease.Config{
+		Backend: store.LeaseBackend{Store: p.Store}, Clock: d.clock, Logger: log, Duty: "coordinator", Key: dutyKey,
+		DaemonID: holderID(s.Name, s.CoordinatorAddress), TTL: max(s.Bounds.Lease, leastLease), Candidate: d.mayCampaign,
+	})
+	d.buildCoordination()
+	d.buildRelay()
+	return d
+}
+
+// leastLease is the shortest lease that pkg/lease supports.
+const leastLease = 3 * time.Second
+
+func (d *Daemon) buildCoordination() {
+	s := d.settings
+	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
+		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
+		Rollouts: func() []*coordinatorv1.RolloutState { return nil },
+	})
+	d.link.local = d.coordinator
+	d.agent = coordination.NewAgent(coordination.AgentConfig{
+		Daemon: s.Name + "/" + time.Duration(bootclock.Now()).String(), Log: d.log, Link: d.link, Instances: d.instances,
+		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
+		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.count()) },
+		Demand:     func() []*coordinatorv1.ServiceDemand { return nil },
+		OnResponse: func(*coordinatorv1.ReportResponse) {},
+	})
+	d.reporter = metering.New(metering.Config{
+		Log: d.log, Store: d.platform.Store, Key: usageKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
+		Counts: d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
+	})
+}
+
+func (d *Daemon) buildRelay() {
+	s := d.settings
+	pool := exchange.NewPool(exchange.Config{
+		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleLimit: idleLimit, MaxIdle: maxIdle,
+	})
+	d.instances.OnGone = pool.Forget
+	d.relay = relay.New(relay.Options{
+		Clock: d.clock, Log: d.log, Wire: d.platform.Wire, Configuration: d.state, Instances: d.instances, Pool: pool,
+		Quota: d.agent, Meter: d.agent, Budget: newBudgets(s.Bounds, d.clock, d.members.count), Versions: anyVersion{},
+		DataCentre: s.DataCentre, KeyFreshness: s.Bounds.KeyRevocation - keyMargin,
+		Draining: d.draining.Load, Refusing: d.refusing.Load,
+	})
+}
+
+// applyOther takes over entries that concern single-writer duties.
+func (d *Daemon) applyOther(mirror.Change) {}
+
+// mayCampaign reports whether nobody holds the duty, as far as the mirror knows.
+func (d *Daemon) mayCampaign() bool {
+	if d.draining.Load() || !d.state.Fresh(pollWait+time.Second) {
+		return false
+	}
+	_, held := d.mirror.Get(dutyKey)
+	return !held
+}
+
+// Ready reports whether the daemon can serve requests.
+func (d *Daemon) Ready() bool { return d.state.Table() != nil && !d.draining.Load() }
+
+// Addresses returns callers' addresses, this daemon's first.
+func (d *Daemon) Addresses(_ string, limit int) []string {
+	var addresses []string
+	if d.Ready() {
+		addresses = append(addresses, d.settings.CallersAddress)
+	}
+	for _, other := range d.members.list() {
+		addresses = append(addresses, other.Callers)
+	}
+	return addresses[:min(len(addresses), limit)]
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	s := d.settings
+	d.log.Info("daemon started", "name", s.Name, "data_centre", s.DataCentre, "callers", s.CallersAddress,
+		"coordinator", s.CoordinatorAddress, "store", s.StoreAddress)
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	runner, err := duty.NewRunner(dutyWorkers, d.clock, d.log)
+	if err != nil {
+		return err
+	}
+	if err := d.startDuties(work, ctx, runner); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	d.stop(work, servers)
+	cancel()
+	runner.Wait()
+	d.log.Info("daemon stopped", "name", s.Name)
+	return nil
+}
+
+// startDuties starts the threads. Those that announce the daemon end with
+// serving; the others go on while requests are finished.
+func (d *Daemon) startDuties(work, serving context.Context, runner *duty.Runner) error {
+	duties := []struct {
+		ctx context.Context
+		run duty.Duty
+	}{
+		{work, duty.Duty{Name: "mirror", Run: d.mirror.Run}},
+		{work, duty.Duty{Name: "agent", Run: d.agent.Run}},
+		{work, duty.Duty{Name: "health", Run: d.evaluateHealth}},
+		{serving, duty.Duty{Name: "announce", Run: d.announce}},
+		{serving, duty.Duty{Name: "lease", Run: d.holder.Run}},
+	}
+	if s := d.settings; s.CloudAddress != "" && s.HasDuty("metering") {
+		duties = append(duties, struct {
+			ctx context.Context
+			run duty.Duty
+		}{serving, duty.Duty{Name: "metering", Run: d.reporter.Run}})
+	}
+	for _, each := range duties {
+		if err := runner.Start(each.ctx, each.run); err != nil {
+			return errors.WithMessage(err, "start daemon")
+		}
+	}
+	return nil
+}
+
+// announce lists the daemon once it can serve.
+func (d *Daemon) announce(ctx context.Context) error {
+	for !d.Ready() && ctx.Err() == nil {
+		sleep(ctx, announceCheck)
+	}
+	return d.members.run(ctx)
+}
+
+const announceCheck = 50 * time.Millisecond
+
+func (d *Daemon) evaluateHealth(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, healthInterval)
+		d.instances.Evaluate()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/link.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"google.golang.org/grpc"
+
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
+)
+
+// dutyKey is held by the daemon that coordinates the others and performs the
+// single-writer duties.
+const dutyKey = "rudder/duty/coordinator"
+
+// holderID is the identity that a holder writes into the duty's key.
+func holderID(name, address string) string { return name + "@" + address }
+
+// holderAddress returns the coordinator address in the value of the duty's key.
+func holderAddress(value string) string {
+	id, _, _ := strings.Cut(value, " ")
+	_, address, _ := strings.Cut(id, "@")
+	return address
+}
+
+// link reaches the current coordinator, in this process or another.
+type link struct {
+	self  string // coordinator address of this daemon
+	local coordinatorv1.CoordinatorServer
+	peers *peer.Pool
+
+	mu     sync.Mutex
+	holder string // coordinator address; empty if unknown
+}
+
+func (l *link) setHolder(address string) {
+	l.mu.Lock()
+	old := l.holder
+	l.holder = address
+	l.mu.Unlock()
+	if old != "" && old != address && old != l.self {
+		l.peers.Forget(old)
+	}
+}
+
+func (l *link) holderIs(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder == address
+}
+
+// Coordinator implements coordination.Link.
+func (l *link) Coordinator() (coordinatorv1.CoordinatorClient, bool) {
+	l.mu.Lock()
+	address := l.holder
+	l.mu.Unlock()
+	switch address {
+	case "":
+		return nil, false
+	case l.self:
+		return localClient{l.local}, true
+	}
+	conn, err := l.peers.Conn(address)
+	if err != nil {
+		return nil, false
+	}
+	return coordinatorv1.NewCoordinatorClient(conn), true
+}
+
+// localClient calls the coordinator in the same process.
+type localClient struct {
+	server coordinatorv1.CoordinatorServer
+}
+
+// Report implements coordinatorv1.CoordinatorClient.
+func (c localClient) Report(ctx context.Context, r *coordinatorv1.ReportRequest, _ ...grpc.CallOption) (*coordinatorv1.ReportResponse, error) {
+	return c.server.Report(ctx, r)
+}
+
+// Borrow implements coordinatorv1.CoordinatorClient.
+func (c localClient) Borrow(ctx context.Context, r *coordinatorv1.BorrowRequest, _ ...grpc.CallOption) (*coordinatorv1.BorrowResponse, error) {
+	return c.server.Borrow(ctx, r)
+}
--- /dev/null
+++ b/internal/edge/state.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+)
+
+// Reader translates the entries that operators and instances write.
+type Reader interface {
+	// InstanceID returns the instance whose entry has the key.
+	InstanceID(key string) (string, bool)
+	// IsTable reports whether the key holds the configuration.
+	IsTable(key string) bool
+	// Table decodes the configuration.
+	Table(value []byte) (*traffic.Table, error)
+	// Instance decodes an instance's entry.
+	Instance(id string, value []byte) (fleet.Description, error)
+}
+
+// state applies changes of the store and implements relay.Configuration.
+type state struct {
+	log       *slog.Logger
+	reader    Reader
+	instances *fleet.Set
+	members   *members
+	link      *link
+	mirror    *mirror.Mirror
+	table     atomic.Pointer[traffic.Table]
+	// onRollout is called with changed entries of roll-outs.
+	onOther func(mirror.Change)
+}
+
+// lenient reports whether the removal of a key may be the consequence of an
+// outage of the store.
+func (s *state) lenient(key string) bool {
+	_, instance := s.reader.InstanceID(key)
+	return instance || strings.HasPrefix(key, memberPrefix)
+}
+
+// apply takes over one change of the store.
+func (s *state) apply(c mirror.Change) {
+	id, isInstance := s.reader.InstanceID(c.Key)
+	switch {
+	case isInstance:
+		s.applyInstance(id, c)
+	case s.reader.IsTable(c.Key):
+		s.applyTable(c)
+	case strings.HasPrefix(c.Key, memberPrefix):
+		s.applyMember(c)
+	case c.Key == dutyKey:
+		s.applyHolder(c)
+	default:
+		s.onOther(c)
+	}
+}
+
+func (s *state) applyInstance(id string, c mirror.Change) {
+	if c.Deleted {
+		s.instances.Remove(id)
+		return
+	}
+	description, err := s.reader.Instance(id, c.Value)
+	if err != nil {
+		s.log.Warn("instance entry ignored", "instance", id, "revision", c.ModRevision, "error", err)
+		s.instances.Remove(id)
+		return
+	}
+	s.instances.Put(description)
+}
+
+func (s *state) applyTable(c mirror.Change) {
+	if c.Deleted {
+		s.log.Error("configuration removed from the store, kept", "revision", c.ModRevision)
+		return
+	}
+	table, err := s.reader.Table(c.Value)
+	if err != nil {
+		s.log.Error("configuration not applied", "revision", c.ModRevision, "error", err)
+		return
+	}
+	if old := s.table.Load(); old != nil && old.Version > table.Version {
+		s.log.Error("older configuration refused", "version", table.Version, "in_force", old.Version)
+		return
+	}
+	s.table.Store(table)
+	s.log.Info("configuration applied", "version", table.Version, "revision", c.ModRevision, "routes", len(table.Routes()))
+}
+
+func (s *state) applyMember(c mirror.Change) {
+	if c.Deleted {
+		s.members.remove(c.Key)
+		s.log.Info("daemon gone", "key", c.Key)
+		return
+	}
+	if err := s.members.put(c.Key, c.Value); err != nil {
+		s.log.Warn("daemon entry ignored", "key", c.Key, "error", err)
+		return
+	}
+	s.log.Info("daemon announced", "key", c.Key)
+}
+
+func (s *state) applyHolder(c mirror.Change) {
+	address := ""
+	if !c.Deleted {
+		address = holderAddress(string(c.Value))
+	}
+	s.link.setHolder(address)
+	s.log.Info("coordinator changed", "address", address, "revision", c.ModRevision)
+}
+
+// Table implements relay.Configuration.
+func (s *state) Table() *traffic.Table { return s.table.Load() }
+
+// Fresh implements relay.Configuration.
+func (s *state) Fresh(limit time.Duration) bool {
+	age, known := s.mirror.Age()
+	return known && age < limit
+}
--- /dev/null
+++ b/internal/fleet/pick.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoInstance means that no instance of the service can take the request.
+var ErrNoInstance = errors.New("no instance available")
+
+// Query describes a request for Pick.
+type Query struct {
+	Service string
+	// Affinity groups requests that share a long part of their prompt; empty if none.
+	Affinity string
+	// Prompt is the number of prompt tokens.
+	Prompt int
+	// Excluded instances have failed the request.
+	Excluded []string
+	// Accept filters by version; nil accepts all.
+	Accept func(version string) bool
+	// DataCentre is that of the daemon.
+	DataCentre string
+}
+
+// Lease is one request's place on an instance. Done must be called.
+type Lease struct {
+	Description
+	set    *Set
+	prompt int
+	began  bool
+	// Load is the instance's load as known when it was picked, without the request.
+	Load Load
+}
+
+// Weights of the score, in units of one running request.
+const (
+	// prefillUnit is the number of waiting prompt tokens that cost as much as
+	// one running request: 100 ms of prefill at 140 tokens a ms delay an event
+	// of a stream about as much as a fully used place.
+	prefillUnit = 6000.0
+	// affinityRanks is the number of instances on which one shared prompt is cached.
+	affinityRanks = 2
+	// affinityBonus is what a cached shared prompt is worth.
+	affinityBonus = 3.0
+	// sickPenalty ranks an ejected instance behind every healthy one.
+	sickPenalty = 1000.0
+	// coldPenalty ranks an instance that is still slow after its start.
+	coldPenalty = 4.0
+	// distancePenalty breaks ties in favour of the own data centre, because
+	// bytes between data centres are paid for.
+	distancePenalty = 0.7
+	// jitter keeps daemons with the same view from choosing alike.
+	jitter = 0.5
+)
+
+// Pick reserves a place on the instance with the lowest score.
+func (s *Set) Pick(q Query) (*Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var best *Instance
+	bestScore := 0.0
+	ranks := s.affinityRanks(q)
+	for _, i := range s.byService[q.Service] {
+		if !s.eligible(i, q) {
+			continue
+		}
+		score := s.score(i, q)
+		if slices.Contains(ranks, i.ID) {
+			score -= affinityBonus
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best == nil {
+		return nil, ErrNoInstance
+	}
+	lease := &Lease{Description: best.Description, set: s, prompt: q.Prompt, Load: best.load()}
+	best.inflight++
+	best.prefill += q.Prompt
+	return lease, nil
+}
+
+func (i *Instance) load() Load {
+	return Load{Inflight: i.inflight + i.inflightThere, Prefill: i.prefill + i.prefillThere}
+}
+
+func (s *Set) eligible(i *Instance, q Query) bool {
+	return !i.Leaving && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
+		(q.Accept == nil || q.Accept(i.Version))
+}
+
+func (s *Set) score(i *Instance, q Query) float64 {
+	load := i.load()
+	running := float64(load.Inflight)
+	if over := load.Inflight - i.Slots; over >= 0 {
+		running += float64(over + 1)
+	}
+	score := running*24/float64(i.Slots) + float64(load.Prefill)/prefillUnit + rand.Float64()*jitter
+	if i.weight <= 0 {
+		score += sickPenalty
+	} else {
+		score += (1 - i.weight) * 10
+	}
+	if i.ColdFor > 0 && s.clock.Since(i.SeenAt) < i.ColdFor {
+		score += coldPenalty
+	}
+	if i.DataCentre != q.DataCentre {
+		score += distancePenalty
+	}
+	return score
+}
+
+// affinityRanks returns the first instances in rendezvous order for the shared
+// prompt, the same on every daemon with the same view.
+func (s *Set) affinityRanks(q Query) []string {
+	if q.Affinity == "" {
+		return nil
+	}
+	type ranked struct {
+		id   string
+		hash uint64
+	}
+	var list []ranked
+	for _, i := range s.byService[q.Service] {
+		if s.eligible(i, q) && i.weight > 0 {
+			list = append(list, ranked{i.ID, rendezvous(q.Affinity, i.ID)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		switch {
+		case a.hash > b.hash:
+			return -1
+		case a.hash < b.hash:
+			return 1
+		}
+		return 0
+	})
+	var ids []string
+	for _, r := range list[:min(affinityRanks, len(list))] {
+		ids = append(ids, r.id)
+	}
+	return ids
+}
+
+func rendezvous(key, id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// Began records that the first event has arrived, so that the prompt is read.
+func (l *Lease) Began() {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	if l.began {
+		return
+	}
+	l.began = true
+	if i := l.set.instances[l.ID]; i != nil {
+		i.prefill = max(i.prefill-l.prompt, 0)
+	}
+}
+
+// Done gives the place back.
+func (l *Lease) Done() {
+	l.Began()
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	if i := l.set.instances[l.ID]; i != nil {
+		i.inflight = max(i.inflight-1, 0)
+	}
+}
+
+// Observe records the outcome of the attempt in the instance's health.
+func (l *Lease) Observe(failed bool, latency, expected time.Duration) {
+	l.set.Observe(l.ID, failed, latency, expected)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -80,6 +80,15 @@
 
 // Client returns a client for the peer at address (ip:port).
 func (p *Pool) Client(address string) (peerv1.PeerClient, error) {
+	conn, err := p.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerv1.NewPeerClient(conn), nil
+}
+
+// Conn returns the connection to the daemon at address (ip:port).
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.conns[address]
@@ -93,7 +102,7 @@
 		p.conns[address] = c
 	}
 	c.lastUsed = p.now()
-	return peerv1.NewPeerClient(c.conn), nil
+	return c.conn, nil
 }
 
 // CloseIdle closes connections that were not used for the idle timeout. Calls
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+// statusClientGone stands for a request whose client left, in logs and metrics.
+const statusClientGone = 499
+
+type relayMetrics struct{}
+
+func (relayMetrics) clientGone() {
+	metrics.GetOrCreateCounter("rudder_relay_client_gone_total").Inc()
+}
+
+func (relayMetrics) firstEvent(route string, latency time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf("rudder_relay_first_event_seconds{semantics=%q}", "streaming")).Update(latency.Seconds())
+}
+
+// finish writes the line and the metrics of a finished request.
+func (q *request) finish(status int, code result.Code) {
+	duration := q.relay.options.Clock.Since(q.received)
+	semantics := "none"
+	route, service := "", ""
+	if q.route != nil {
+		semantics = q.route.Semantics.String()
+		route = q.route.Name
+	}
+	if q.service != nil {
+		service = q.service.Name
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_relay_requests_total{semantics=%q,status=\"%d\",code=\"%d\"}", semantics, status, code)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf("rudder_relay_request_seconds{semantics=%q}", semantics)).Update(duration.Seconds())
+	account := ""
+	if q.account != nil {
+		account = q.account.Name
+	}
+	q.relay.options.Log.Info("request finished", "request", q.info.ID, "route", route, "service", service,
+		"account", account, "instance", q.instance, "attempts", q.attempts, "status", status, "code", int(code),
+		"ran", q.ran, "duration_ms", duration.Milliseconds(), "outcome", q.outcome)
+}
+
+// logAttempt writes a line for an attempt that did not answer.
+func (q *request) logAttempt(lease *fleet.Lease, end attemptEnd, reason string) {
+	if end == answered {
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_relay_attempts_failed_total{end=%q}", end.String())).Inc()
+	q.relay.options.Log.Info("attempt failed", "request", q.info.ID, "instance", lease.ID, "service", lease.Service,
+		"version", lease.Version, "end", end.String(), "reason", reason, "load", lease.Load.Inflight)
+}
+
+// String returns the name used in logs and metrics.
+func (e attemptEnd) String() string {
+	return [...]string{"answered", "unsent", "refused", "lost", "broken", "left", "expired"}[e]
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+)
+
+const (
+	streamBuffer = 2 << 10
+	// maxEvent bounds one event, so that an instance that never ends one
+	// cannot fill the memory.
+	maxEvent = 1 << 20
+	// expectedPrefill scales latencies of streams for the health of instances.
+	expectedPrefill = 100 * time.Millisecond
+	prefillPerMs    = 100.0
+)
+
+// streamState is what a stream's attempts share.
+type streamState struct {
+	begun  bool   // an event reached the client
+	lastID string // ID of the last event that reached the client
+}
+
+// resumable reports whether another attempt can go on after the last event.
+func (s *streamState) resumable() bool { return !s.begun || s.lastID != "" }
+
+// relayStream passes on events as they arrive. Only whole events are passed
+// on, so that another attempt can continue between two of them.
+func (q *request) relayStream(ctx context.Context, reply *exchange.Reply, lease *fleet.Lease, stream *streamState, sent time.Time) (attemptEnd, string) {
+	flusher, _ := q.writer.(http.Flusher)
+	var pending []byte
+	buffer := make([]byte, streamBuffer)
+	first := true
+	for {
+		n, err := reply.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		if whole := wholeEvents(pending); whole > 0 {
+			if first {
+				first = false
+				q.firstEvent(lease, sent)
+			}
+			q.writeHead(reply, -1)
+			if _, writeErr := q.writer.Write(pending[:whole]); writeErr != nil {
+				return left, writeErr.Error()
+			}
+			flusher.Flush()
+			stream.begun = true
+			if id := lastEventID(pending[:whole]); id != "" {
+				stream.lastID = id
+			}
+			pending = append(pending[:0], pending[whole:]...)
+		}
+		switch {
+		case err == io.EOF && len(pending) == 0 && !first:
+			return answered, ""
+		case err != nil:
+			return q.brokenStream(ctx, lease, stream, sent, err)
+		case len(pending) > maxEvent:
+			return q.brokenStream(ctx, lease, stream, sent, io.ErrShortBuffer)
+		}
+	}
+}
+
+// firstEvent records that the instance has read the prompt.
+func (q *request) firstEvent(lease *fleet.Lease, sent time.Time) {
+	q.beganRunning()
+	lease.Began()
+	latency := q.relay.options.Clock.Since(sent)
+	expected := expectedPrefill + time.Duration(float64(q.info.PromptTokens)/prefillPerMs*float64(time.Millisecond))
+	lease.Observe(false, latency, expected)
+	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, lease.Version, false, latency)
+	q.relay.metrics.firstEvent(q.route.Name, q.relay.options.Clock.Since(q.received))
+}
+
+func (q *request) brokenStream(ctx context.Context, lease *fleet.Lease, stream *streamState, sent time.Time, err error) (attemptEnd, string) {
+	switch {
+	case q.http.Context().Err() != nil:
+		return left, err.Error()
+	case ctx.Err() != nil:
+		lease.Observe(true, 0, 0)
+		return expired, err.Error()
+	}
+	q.failed(lease, sent)
+	if stream.begun {
+		return broken, "stream broke: " + err.Error()
+	}
+	return lost, "stream broke before its first event: " + err.Error()
+}
+
+// wholeEvents returns the length of the part of data that ends with a blank line.
+func wholeEvents(data []byte) int {
+	end := 0
+	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// lastEventID returns the value of the last id field.
+func lastEventID(events []byte) string {
+	id := ""
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -139,23 +139,30 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "read %s", name)
 	}
+	s := &Settings{}
+	if err := parseKeys(name, data, keysOf(s)); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// parseKeys sets the fields that keys are bound to from an INI file.
+func parseKeys(name string, data []byte, keys []Key) error {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		InsensitiveKeys: false, SkipUnrecognizableLines: false, IgnoreInlineComment: true,
 	}, data)
 	if err != nil {
-		return nil, errors.Wrapf(err, "parse %s", name)
+		return errors.Wrapf(err, "parse %s", name)
 	}
-	s := &Settings{}
-	keys := keysOf(s)
 	if err := refuseUnknown(name, file, keys); err != nil {
-		return nil, err
+		return err
 	}
 	for _, k := range keys {
 		if err := apply(file, k); err != nil {
-			return nil, errors.Errorf("%s: section [%s], key %s: %v", name, k.Section, k.Name, err)
+			return errors.Errorf("%s: section [%s], key %s: %v", name, k.Section, k.Name, err)
 		}
 	}
-	return s, nil
+	return nil
 }
 
 func apply(file *ini.File, k Key) error {
