Order instances by load and price

Change: internal/scaling measures the prompt tokens that clients ask for and the prefill time of a token (least squares over requests that met an idle instance), keeps a floor of instances that can't be reclaimed in the cheapest data centres, spreads reclaimable ones so that the loss of a data centre's leaves the need, and treats one refusal as a sign for all data centres. The mirror pauses 200 ms between polls instead of 60. Conclusion: the floor can be cut further where reclaimable instances are to be had.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -126,7 +126,7 @@
 	buffer := buffers.Get().(*bytes.Buffer)
 	buffer.Reset()
 	defer buffers.Put(buffer)
-	text := slog.NewTextHandler(buffer, &slog.HandlerOptions{Level: h.level}).WithAttrs(h.attrs)
+	text := slog.NewTextHandler(buffer, &slog.HandlerOptions{Level: h.level, ReplaceAttr: shortError}).WithAttrs(h.attrs)
 	if err := text.Handle(ctx, record); err != nil {
 		return err
 	}
@@ -136,6 +136,14 @@
 	return nil
 }
 
+// shortError writes an error's message without its stack.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // isSuccess reports whether the line tells that a request succeeded.
 func isSuccess(record slog.Record) bool {
 	success := false
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/relay"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
@@ -82,6 +83,8 @@
 	reporter    *metering.Reporter
 	relay       *relay.Relay
 	civil       *bootclock.Civil
+	estimator   *scaling.Estimator
+	scaler      *scaling.Duty
 
 	draining atomic.Bool
 	refusing atomic.Bool
@@ -108,6 +111,7 @@
 		Backend: store.LeaseBackend{Store: p.Store}, Clock: d.clock, Logger: log, Duty: "coordinator", Key: dutyKey,
 		DaemonID: holderID(s.Name, s.CoordinatorAddress), TTL: max(s.Bounds.Lease, leastLease), Candidate: d.mayCampaign,
 	})
+	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.buildCoordination()
 	d.buildRelay()
 	return d
@@ -127,13 +131,18 @@
 		Daemon: s.Name + "/" + time.Duration(bootclock.Now()).String(), Log: d.log, Link: d.link, Instances: d.instances,
 		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
 		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.count()) },
-		Demand:     func() []*coordinatorv1.ServiceDemand { return nil },
+		Demand:     d.serviceDemand,
 		OnResponse: func(*coordinatorv1.ReportResponse) {},
 	})
 	d.reporter = metering.New(metering.Config{
 		Log: d.log, Store: d.platform.Store, Key: usageKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
 		Counts: d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
 	})
+	d.scaler = scaling.New(scaling.Config{
+		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
+		Busy: d.fleetBusy, Now: bootclock.Now, Policy: scaling.DefaultPolicy(),
+		Forbidden: func(string) bool { return false },
+	})
 }
 
 func (d *Daemon) buildRelay() {
@@ -145,11 +154,31 @@
 	d.relay = relay.New(relay.Options{
 		Clock: d.clock, Log: d.log, Wire: d.platform.Wire, Configuration: d.state, Instances: d.instances, Pool: pool,
 		Quota: d.agent, Meter: d.agent, Budget: newBudgets(s.Bounds, d.clock, d.members.count), Versions: anyVersion{},
+		Demand:     d.estimator,
 		DataCentre: s.DataCentre, KeyFreshness: s.Bounds.KeyRevocation - keyMargin,
 		Draining: d.draining.Load, Refusing: d.refusing.Load,
 	})
 }
 
+// serviceDemand reports this daemon's demand to the coordinator.
+func (d *Daemon) serviceDemand() []*coordinatorv1.ServiceDemand {
+	var demand []*coordinatorv1.ServiceDemand
+	for service, busy := range d.estimator.Busy() {
+		demand = append(demand, &coordinatorv1.ServiceDemand{Service: service, Busy: busy})
+	}
+	return demand
+}
+
+// fleetBusy returns the demand of all daemons by service.
+func (d *Daemon) fleetBusy() map[string]float64 {
+	busy := map[string]float64{}
+	demands, _ := d.coordinator.Demands()
+	for service, demand := range demands {
+		busy[service] = demand.Busy
+	}
+	return busy
+}
+
 // applyOther takes over entries that concern single-writer duties.
 func (d *Daemon) applyOther(mirror.Change) {}
 
@@ -203,26 +232,31 @@
 	return nil
 }
 
+// thread is a duty and the context that ends it.
+type thread struct {
+	ctx context.Context
+	run duty.Duty
+}
+
 // startDuties starts the threads. Those that announce the daemon end with
 // serving; the others go on while requests are finished.
 func (d *Daemon) startDuties(work, serving context.Context, runner *duty.Runner) error {
-	duties := []struct {
-		ctx context.Context
-		run duty.Duty
-	}{
+	threads := []thread{
 		{work, duty.Duty{Name: "mirror", Run: d.mirror.Run}},
 		{work, duty.Duty{Name: "agent", Run: d.agent.Run}},
 		{work, duty.Duty{Name: "health", Run: d.evaluateHealth}},
 		{serving, duty.Duty{Name: "announce", Run: d.announce}},
 		{serving, duty.Duty{Name: "lease", Run: d.holder.Run}},
 	}
-	if s := d.settings; s.CloudAddress != "" && s.HasDuty("metering") {
-		duties = append(duties, struct {
-			ctx context.Context
-			run duty.Duty
-		}{serving, duty.Duty{Name: "metering", Run: d.reporter.Run}})
+	if d.settings.CloudAddress != "" {
+		if d.settings.HasDuty("metering") {
+			threads = append(threads, thread{serving, duty.Duty{Name: "metering", Run: d.reporter.Run}})
+		}
+		if d.settings.HasDuty("autoscaler") {
+			threads = append(threads, thread{serving, duty.Duty{Name: "scaling", Run: d.scaler.Run}})
+		}
 	}
-	for _, each := range duties {
+	for _, each := range threads {
 		if err := runner.Start(each.ctx, each.run); err != nil {
 			return errors.WithMessage(err, "start daemon")
 		}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -19,7 +19,7 @@
 const (
 	// settlePause is the wait between two polls, so that a burst of changes
 	// costs few calls. It is small beside the 2 s within which changes must apply.
-	settlePause = 60 * time.Millisecond
+	settlePause = 200 * time.Millisecond
 	// minRetry and maxRetry bound the wait after a failed call.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 400 * time.Millisecond
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,14 @@
 	Observe(service, route, version string, failed bool, latency time.Duration)
 }
 
+// Demand learns what clients ask of the services.
+type Demand interface {
+	// Offered records an admitted request.
+	Offered(service string, prompt, shared int)
+	// FirstEvent records the latency of a request that found its instance idle.
+	FirstEvent(service string, prompt, shared int, latency time.Duration)
+}
+
 // Options configure a Relay.
 type Options struct {
 	Clock         clockwork.Clock
@@ -62,6 +70,7 @@
 	Meter         Meter
 	Budget        Budget
 	Versions      Versions
+	Demand        Demand
 	DataCentre    string
 	// KeyFreshness is how old the proof of the configuration may be for a
 	// request with an account key.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -43,6 +43,7 @@
 // serve makes attempts until one answers or none is allowed.
 func (q *request) serve() {
 	q.relay.options.Budget.Offer(q.service.Name)
+	q.relay.options.Demand.Offered(q.service.Name, q.info.PromptTokens, q.info.SharedTokens)
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
 	unsentCount := 0
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -19,6 +19,8 @@
 	// expectedPrefill scales latencies of streams for the health of instances.
 	expectedPrefill = 100 * time.Millisecond
 	prefillPerMs    = 100.0
+	// maxIdleLatency leaves out samples of instances that are stuck.
+	maxIdleLatency = 2 * time.Second
 )
 
 // streamState is what a stream's attempts share.
@@ -75,6 +77,9 @@
 	expected := expectedPrefill + time.Duration(float64(q.info.PromptTokens)/prefillPerMs*float64(time.Millisecond))
 	lease.Observe(false, latency, expected)
 	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, lease.Version, false, latency)
+	if lease.Load.Inflight == 0 && latency < maxIdleLatency {
+		q.relay.options.Demand.FirstEvent(q.service.Name, q.info.PromptTokens, q.info.SharedTokens, latency)
+	}
 	q.relay.metrics.firstEvent(q.route.Name, q.relay.options.Clock.Since(q.received))
 }
 
--- /dev/null
+++ b/internal/scaling/demand.go
@@ -0,0 +1,115 @@
+// Package scaling decides how many instances of which kind each service needs
+// in each data centre, and orders them as the duty of one daemon at a time.
+package scaling
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// demandWindow is the time over which the offered work is averaged.
+	demandWindow = 5 * time.Second
+	// sampleDecay is the weight that older samples keep with each new one.
+	sampleDecay = 0.995
+	// minSamples is the number of samples from which on the fit is used.
+	minSamples = 30
+	// defaultPerToken is the prefill time of a token before it is measured:
+	// slower than the engines of today, so that a start errs on the safe side.
+	defaultPerToken = 12 * time.Microsecond
+	// leastPerToken bounds the fit when samples are all alike.
+	leastPerToken = time.Microsecond
+	// cachedShare is the part of a shared prompt that needn't be read again.
+	cachedShare = 0.7
+)
+
+// Work returns the prompt tokens that an engine has to read.
+func Work(prompt, shared int) float64 { return float64(prompt) - cachedShare*float64(min(shared, prompt)) }
+
+// Estimator measures the work that clients offer to the services, at one
+// daemon. It is safe for concurrent use.
+type Estimator struct {
+	now func() time.Duration
+
+	mu       sync.Mutex
+	services map[string]*offered
+}
+
+// offered is the work of one service.
+type offered struct {
+	tokens  float64 // a second, smoothed
+	updated time.Duration
+	fit     fit
+}
+
+// NewEstimator returns an estimator without samples.
+func NewEstimator(now func() time.Duration) *Estimator {
+	return &Estimator{now: now, services: map[string]*offered{}}
+}
+
+func (e *Estimator) of(service string) *offered {
+	o := e.services[service]
+	if o == nil {
+		o = &offered{updated: e.now()}
+		e.services[service] = o
+	}
+	return o
+}
+
+// Offered records a request that was admitted, whether it is served or not.
+func (e *Estimator) Offered(service string, prompt, shared int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := e.of(service)
+	o.decay(e.now())
+	o.tokens += Work(prompt, shared) / demandWindow.Seconds()
+}
+
+// decay lets the average fall with time.
+func (o *offered) decay(now time.Duration) {
+	elapsed := (now - o.updated).Seconds()
+	o.updated = now
+	o.tokens *= max(1-elapsed/demandWindow.Seconds(), 0)
+}
+
+// FirstEvent records the latency of a request that found its instance idle.
+func (e *Estimator) FirstEvent(service string, prompt, shared int, latency time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.of(service).fit.add(Work(prompt, shared), latency.Seconds())
+}
+
+// Busy returns the instance seconds a second that each service needs.
+func (e *Estimator) Busy() map[string]float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	busy := map[string]float64{}
+	for service, o := range e.services {
+		o.decay(e.now())
+		busy[service] = o.tokens * o.fit.perToken().Seconds()
+	}
+	return busy
+}
+
+// fit is a least-squares line of latency over tokens, with older samples fading.
+type fit struct {
+	n, x, y, xx, xy float64
+}
+
+func (f *fit) add(tokens, seconds float64) {
+	f.n = f.n*sampleDecay + 1
+	f.x = f.x*sampleDecay + tokens
+	f.y = f.y*sampleDecay + seconds
+	f.xx = f.xx*sampleDecay + tokens*tokens
+	f.xy = f.xy*sampleDecay + tokens*seconds
+}
+
+// perToken returns the slope of the line.
+func (f *fit) perToken() time.Duration {
+	spread := f.n*f.xx - f.x*f.x
+	if f.n < minSamples || spread <= 0 {
+		return defaultPerToken
+	}
+	slope := time.Duration((f.n*f.xy - f.x*f.y) / spread * float64(time.Second))
+	return min(max(slope, leastPerToken), defaultPerToken)
+}
--- /dev/null
+++ b/internal/scaling/duty.go
@@ -0,0 +1,278 @@
+package scaling
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+)
+
+const (
+	// step is the time between two decisions.
+	step = 250 * time.Millisecond
+	// orderTimeout bounds an order.
+	orderTimeout = 800 * time.Millisecond
+	// dryTime is how long no reclaimable instances are ordered after a refusal.
+	dryTime = 2 * time.Second
+	// reclaimedTime is how long none are ordered after a reclaim notice: the
+	// cloud takes a data centre's instances and has none for a while.
+	reclaimedTime = 6 * time.Second
+	// shrinkAfter is how long a surplus must last before instances are given back.
+	shrinkAfter = 4 * time.Second
+	// learnTime is how long the demand is watched before instances that stood
+	// at the start are given back.
+	learnTime = 2500 * time.Millisecond
+	// driftMargin is added to the boot time before a number that isn't reached
+	// is ordered again.
+	driftMargin = 3 * time.Second
+	// unknownRepeat and unknownFor repeat orders after one that got no answer:
+	// it may be executed late and undo a newer one.
+	unknownRepeat = 3 * time.Second
+	unknownFor    = 14 * time.Second
+)
+
+// Config holds the parameters of a Duty.
+type Config struct {
+	Log       *slog.Logger
+	Cloud     cloudduty.Caller
+	Token     func() int64 // fencing token, 0 while the duty isn't held
+	Table     func() *traffic.Table
+	Instances *fleet.Set
+	// Busy returns the instance seconds a second that clients ask of each service.
+	Busy   func() map[string]float64
+	Now    func() time.Duration
+	Policy Policy
+	// Forbidden reports whether the number must not change, for example while
+	// a new version of the service is brought in.
+	Forbidden func(service string) bool
+}
+
+// Duty orders instances.
+type Duty struct {
+	config   Config
+	token    int64
+	services map[string]*serviceState
+}
+
+// serviceState is what the duty knows of one service.
+type serviceState struct {
+	places   map[Place]*placeState
+	loaded   time.Duration // demand was first seen; 0 if not yet
+	lostAt   time.Duration // an order got no answer; 0 if none did
+	repeated time.Duration
+	dryUntil time.Duration // no reclaimable instances are ordered before
+}
+
+// placeState is the number of instances of one kind in one data centre.
+type placeState struct {
+	ordered int
+	known   bool          // an order was acknowledged
+	orderAt time.Duration // of the latest order
+	surplus time.Duration // since when fewer would do; 0 if not
+}
+
+// New returns a Duty.
+func New(config Config) *Duty { return &Duty{config: config} }
+
+// Run decides and orders until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.Step(ctx)
+		}
+	}
+}
+
+// Step makes one round of decisions.
+func (d *Duty) Step(ctx context.Context) {
+	token := d.config.Token()
+	table := d.config.Table()
+	if token == 0 || table == nil {
+		return
+	}
+	if token != d.token {
+		d.token = token
+		d.services = map[string]*serviceState{}
+	}
+	busy := d.config.Busy()
+	for name, service := range table.Services {
+		if service.Scaling == nil || d.config.Forbidden(name) {
+			continue
+		}
+		d.decide(ctx, token, service, busy[name])
+	}
+}
+
+// count is what stands of one kind in one data centre.
+type count struct{ ready, leaving int }
+
+func (d *Duty) counts(service string) map[Place]count {
+	counts := map[Place]count{}
+	for _, i := range d.config.Instances.Snapshot(service) {
+		place := Place{i.DataCentre, i.Reclaimable}
+		c := counts[place]
+		if i.Leaving {
+			c.leaving++
+		} else {
+			c.ready++
+		}
+		counts[place] = c
+	}
+	return counts
+}
+
+func (d *Duty) decide(ctx context.Context, token int64, service *traffic.Service, busy float64) {
+	now := d.config.Now()
+	counts := d.counts(service.Name)
+	s := d.stateOf(service, counts)
+	if s.loaded == 0 && busy > 0 {
+		s.loaded = now
+	}
+	learning := s.loaded == 0 || now-s.loaded < learnTime
+	s.observe(counts, learning, now)
+	plan := Plan(d.config.Policy, Situation{
+		Scaling: service.Scaling, Need: d.need(s, busy, learning), Standing: s.standing(), Dry: now < s.dryUntil,
+	})
+	repeat := s.mustRepeat(now)
+	for _, centre := range byPrice(service.Scaling.Prices) {
+		for _, reclaimable := range []bool{false, true} {
+			place := Place{centre, reclaimable}
+			if s.due(place, plan[place], counts[place], learning, repeat, now, service.Scaling.BootTime) {
+				d.order(ctx, token, service.Name, place, plan[place], s, busy)
+			}
+		}
+	}
+}
+
+// need returns the number of instances for the load. Before the load is known,
+// it is what the operators started with.
+func (d *Duty) need(s *serviceState, busy float64, learning bool) int {
+	need := d.config.Policy.Need(busy)
+	if !learning {
+		return need
+	}
+	started := 0
+	for place, p := range s.places {
+		if !place.Reclaimable {
+			started += p.ordered
+		}
+	}
+	return max(need, started)
+}
+
+func (d *Duty) stateOf(service *traffic.Service, counts map[Place]count) *serviceState {
+	s := d.services[service.Name]
+	if s == nil {
+		s = &serviceState{places: map[Place]*placeState{}}
+		d.services[service.Name] = s
+	}
+	for centre := range service.Scaling.Prices {
+		for _, reclaimable := range []bool{false, true} {
+			place := Place{centre, reclaimable}
+			if s.places[place] == nil {
+				s.places[place] = &placeState{ordered: counts[place].ready}
+			}
+		}
+	}
+	return s
+}
+
+// observe takes over what stands: instances that were started by others while
+// no number was ordered, and those that the cloud takes away.
+func (s *serviceState) observe(counts map[Place]count, learning bool, now time.Duration) {
+	for place, p := range s.places {
+		c := counts[place]
+		if learning && !p.known {
+			p.ordered = max(p.ordered, c.ready)
+		}
+		if place.Reclaimable && c.leaving > 0 && c.ready == 0 && p.ordered > 0 {
+			s.dryUntil = max(s.dryUntil, now+reclaimedTime)
+			p.ordered = 0
+		}
+	}
+}
+
+// standing returns the reclaimable instances by data centre.
+func (s *serviceState) standing() map[string]int {
+	standing := map[string]int{}
+	for place, p := range s.places {
+		if place.Reclaimable {
+			standing[place.DataCentre] = p.ordered
+		}
+	}
+	return standing
+}
+
+// mustRepeat reports whether all numbers are to be ordered again because an
+// order without an answer may be executed late.
+func (s *serviceState) mustRepeat(now time.Duration) bool {
+	if s.lostAt == 0 || now-s.repeated < unknownRepeat {
+		return false
+	}
+	s.repeated = now
+	if now-s.lostAt > unknownFor {
+		s.lostAt = 0
+	}
+	return true
+}
+
+// due reports whether the number of a place is to be ordered now.
+func (s *serviceState) due(place Place, wanted int, stands count, learning, repeat bool, now, boot time.Duration) bool {
+	p := s.places[place]
+	if place.Reclaimable && now < s.dryUntil {
+		return false
+	}
+	if learning && !place.Reclaimable {
+		return false
+	}
+	if wanted >= p.ordered {
+		p.surplus = 0
+	} else if p.surplus == 0 {
+		p.surplus = now
+	}
+	switch {
+	case wanted > p.ordered:
+		return true
+	case wanted < p.ordered:
+		return now-p.surplus >= shrinkAfter
+	case !p.known && !learning, repeat && p.known:
+		return true
+	}
+	return p.known && stands.ready < p.ordered && now-p.orderAt > boot+driftMargin
+}
+
+func (d *Duty) order(ctx context.Context, token int64, service string, place Place, wanted int, s *serviceState, busy float64) {
+	if d.config.Token() != token {
+		return
+	}
+	p := s.places[place]
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := d.config.Cloud.Order(ctx, token, cloudduty.Order{
+		Service: service, DataCentre: place.DataCentre, Instances: wanted, Reclaimable: place.Reclaimable,
+	})
+	now := d.config.Now()
+	d.config.Log.Info("instances ordered", "service", service, "data_centre", place.DataCentre,
+		"reclaimable", place.Reclaimable, "before", p.ordered, "ordered", wanted, "busy", busy, "token", token, "error", err)
+	p.orderAt = now
+	switch {
+	case err == nil:
+		p.ordered, p.known, p.surplus = wanted, true, 0
+		metrics.GetOrCreateCounter("rudder_scaling_orders_total").Inc()
+	case errors.Is(err, cloudduty.ErrConflict) && place.Reclaimable:
+		s.dryUntil = now + dryTime
+	case errors.Is(err, cloudduty.ErrUnknown):
+		s.lostAt = now
+	}
+}
--- /dev/null
+++ b/internal/scaling/plan.go
@@ -0,0 +1,127 @@
+package scaling
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+)
+
+// Policy holds the parameters of Plan.
+type Policy struct {
+	// Utilization is the share of an instance's time that is planned for
+	// reading prompts. The rest keeps a long prompt from delaying the others.
+	Utilization float64
+	// FloorShare is the part of the need that instances carry which aren't
+	// reclaimable.
+	FloorShare float64
+	// SpareShare is the part of the need that must remain when the
+	// reclaimable instances of one data centre are taken away.
+	SpareShare float64
+	// MinNeed is the least number of instances of a service.
+	MinNeed int
+}
+
+// DefaultPolicy suits engines whose long prompts take as long as the latency
+// objective of the short questions beside them.
+func DefaultPolicy() Policy {
+	return Policy{Utilization: 0.28, FloorShare: 0.5, SpareShare: 1.1, MinNeed: 3}
+}
+
+// Place is a kind of instance in a data centre.
+type Place struct {
+	DataCentre  string
+	Reclaimable bool
+}
+
+// Situation is what Plan decides on, for one service.
+type Situation struct {
+	Scaling *traffic.Scaling
+	// Need is the number of instances that carry the load.
+	Need int
+	// Standing reclaimable instances by data centre.
+	Standing map[string]int
+	// Dry means that no further reclaimable instances are to be had.
+	Dry bool
+}
+
+// Need returns the number of instances for a load in instance seconds a second.
+func (p Policy) Need(busy float64) int {
+	return max(int(math.Ceil(busy/p.Utilization)), p.MinNeed)
+}
+
+// Plan returns the number of instances for each place. Instances that aren't
+// reclaimable go to the cheapest data centres, reclaimable ones are spread so
+// that the loss of a data centre's leaves enough.
+func Plan(policy Policy, s Situation) map[Place]int {
+	centres := byPrice(s.Scaling.Prices)
+	plan := map[Place]int{}
+	for _, c := range centres {
+		plan[Place{c, false}], plan[Place{c, true}] = 0, 0
+	}
+	floor := int(math.Ceil(policy.FloorShare * float64(s.Need)))
+	switch {
+	case s.Scaling.SpotFactor <= 0 || len(centres) < 2:
+		floor = s.Need
+	case s.Dry:
+		floor = max(floor, s.Need-keptAfterLoss(s.Standing))
+		for _, c := range centres {
+			plan[Place{c, true}] = s.Standing[c]
+		}
+	default:
+		spare := max(policy.SpareShare*float64(s.Need)-float64(floor), 0)
+		each := int(math.Ceil(spare / float64(len(centres)-1)))
+		for _, c := range centres {
+			plan[Place{c, true}] = min(each, s.Scaling.Max)
+		}
+	}
+	placeFloor(plan, centres, s.Scaling, floor)
+	return plan
+}
+
+// keptAfterLoss returns how many reclaimable instances remain when the data
+// centre with the most of them loses its own.
+func keptAfterLoss(standing map[string]int) int {
+	sum, most := 0, 0
+	for _, n := range standing {
+		sum += n
+		most = max(most, n)
+	}
+	return sum - most
+}
+
+// placeFloor adds instances that aren't reclaimable: first what the minimum of
+// each data centre asks for, then in the cheapest ones.
+func placeFloor(plan map[Place]int, centres []string, scaling *traffic.Scaling, floor int) {
+	for _, c := range centres {
+		if missing := scaling.Min - plan[Place{c, true}]; missing > 0 {
+			plan[Place{c, false}] = missing
+			floor -= missing
+		}
+	}
+	for _, c := range centres {
+		room := scaling.Max - plan[Place{c, true}] - plan[Place{c, false}]
+		add := max(min(room, floor), 0)
+		plan[Place{c, false}] += add
+		floor -= add
+	}
+}
+
+// byPrice returns the data centres, cheapest first.
+func byPrice(prices map[string]float64) []string {
+	centres := make([]string, 0, len(prices))
+	for c := range prices {
+		centres = append(centres, c)
+	}
+	slices.SortFunc(centres, func(a, b string) int {
+		if prices[a] != prices[b] {
+			if prices[a] < prices[b] {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return centres
+}
