Keep usage counts in the store and try a second instance early

Change: the coordinator writes the counts to the store; a report waits up to 6 s for silent daemons; daemons that leave hand their counts over; lookups leave out daemons that are silent for 1 s; a repeatable request is sent to a second instance when the first answer doesn't begin within 0.6 of its objective; polls by prefix, so that writes of the counts don't end every daemon's poll; a campaign may take half of the lease's life.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -20,7 +20,7 @@
 const (
 	// reportInterval is the time between two reports. A daemon that dies loses
 	// the usage counts since its last report.
-	reportInterval = 250 * time.Millisecond
+	reportInterval = 125 * time.Millisecond
 	// reportTimeout bounds a report; it is far above a round trip between data centres.
 	reportTimeout = 400 * time.Millisecond
 	// borrowTimeout bounds how long a request waits for quota.
@@ -28,7 +28,7 @@
 	// creditHorizon is the demand for which credit is kept at the daemon.
 	creditHorizon = 600 * time.Millisecond
 	// demandGain smooths the demand between reports.
-	demandGain = 0.25
+	demandGain = 0.15
 	// contactLimit is the age of the last answer after which the coordinator
 	// counts as unreachable.
 	contactLimit = time.Second
@@ -109,21 +109,23 @@
 	}
 }
 
-func (a *Agent) report(ctx context.Context) {
+// report makes one report and tells whether the coordinator took it.
+func (a *Agent) report(ctx context.Context) bool {
 	request := a.makeReport()
 	client, ok := a.config.Link.Coordinator()
 	if !ok {
 		a.lost("no coordinator is known")
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	response, err := client.Report(ctx, request)
 	if err != nil {
 		a.lost(err.Error())
-		return
+		return false
 	}
 	a.accept(response)
+	return true
 }
 
 // lost notes that the coordinator doesn't answer, once an outage.
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -33,6 +33,9 @@
 	Now   func() time.Duration // suspensions included
 	// Daemons returns the number of live daemons.
 	Daemons func() int
+	// Members returns the names of the announced daemons, as in their reports.
+	Members func() []string
+	Civil   func() time.Time
 	// Rollouts returns the state of moves between versions.
 	Rollouts func() []*coordinatorv1.RolloutState
 }
@@ -46,6 +49,8 @@
 	token   int64 // for which the state below was gathered
 	buckets map[string]*bucket
 	reports map[string]*daemonReport
+	// restored tells that the usage counts of the holder before were read.
+	restored bool
 }
 
 // bucket is the quota of an account that isn't granted yet.
@@ -58,6 +63,7 @@
 type daemonReport struct {
 	sequence int64
 	at       time.Duration
+	heard    time.Time // civil time of at
 	loads    []*coordinatorv1.InstanceLoad
 	services []*coordinatorv1.ServiceDemand
 	evidence []*coordinatorv1.VersionEvidence
@@ -80,6 +86,7 @@
 		c.token = token
 		c.buckets = map[string]*bucket{}
 		c.reports = map[string]*daemonReport{}
+		c.restored = false
 	}
 	return nil
 }
@@ -97,6 +104,7 @@
 	if table == nil {
 		return response, nil
 	}
+	response.Silent = c.silent()
 	for _, d := range r.Accounts {
 		b, account := c.bucketOf(table, d.Account)
 		if b == nil {
@@ -146,16 +154,9 @@
 	if r.Sequence <= report.sequence {
 		return
 	}
-	report.sequence, report.at = r.Sequence, c.config.Now()
+	report.sequence, report.at, report.heard = r.Sequence, c.config.Now(), c.config.Civil()
 	report.loads, report.services, report.evidence = r.Loads, r.Services, r.Evidence
-	for _, w := range r.Windows {
-		counts := report.windows[w.Window]
-		if counts == nil {
-			counts = map[string]int64{}
-			report.windows[w.Window] = counts
-		}
-		counts[w.Account] = max(counts[w.Account], w.Count)
-	}
+	report.addWindows(r.Windows)
 	for name, old := range c.reports {
 		if c.config.Now()-old.at > forgetAfter {
 			delete(c.reports, name)
@@ -219,16 +220,31 @@
 }
 
 // Counts returns the usage of a window by account, summed over all daemons.
-func (c *Coordinator) Counts(window int64) map[string]int64 {
+// known is false until the counts of the holder before are restored; complete
+// tells that every daemon has reported since the window's end.
+func (c *Coordinator) Counts(window int64, end time.Time) (total map[string]int64, known, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	total := map[string]int64{}
+	if c.hold() != nil || !c.restored {
+		return nil, false, false
+	}
+	total = map[string]int64{}
+	complete = true
 	for _, report := range c.reports {
 		for account, count := range report.windows[window] {
 			total[account] += count
 		}
+		counted := report.windows[window] != nil || report.windows[window-1] != nil
+		if counted && report.heard.Before(end) {
+			complete = false
+		}
+	}
+	for _, name := range c.config.Members() {
+		if report := c.reports[name]; report == nil || report.heard.Before(end) {
+			complete = false
+		}
 	}
-	return total
+	return total, true, complete
 }
 
 // Demand is what clients ask of a service, summed over all daemons.
@@ -262,3 +278,14 @@
 	}
 	return demands, loads
 }
+
+// silent returns the daemons that stopped reporting shortly ago.
+func (c *Coordinator) silent() []string {
+	var names []string
+	for name, report := range c.reports {
+		if age := c.config.Now() - report.at; age > silentAfter && report.sequence > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,9 @@
 	// pollWait is the longest wait of a poll: it bounds the age of the
 	// configuration's proof and costs one call per daemon.
 	pollWait = 2 * time.Second
+	// fleetWait is the longest wait of the poll for instances and daemons. A
+	// failure of the other poll ends it early.
+	fleetWait = 8 * time.Second
 	// keyMargin is what is left of the revocation bound for a request that
 	// has passed the check.
 	keyMargin = 500 * time.Millisecond
@@ -61,7 +65,9 @@
 	dutyWorkers = 24
 	// peerIdle closes connections to earlier coordinators.
 	peerIdle = 30 * time.Second
-	usageKey = "rudder/usage"
+	// usageKey holds the usage report that is due, countsKey the counts behind it.
+	usageKey  = "usage/report"
+	countsKey = "usage/counts"
 )
 
 // Daemon is one edge daemon.
@@ -75,7 +81,6 @@
 	members     *members
 	link        *link
 	state       *state
-	mirror      *mirror.Mirror
 	peers       *peer.Pool
 	holder      *lease.Holder
 	coordinator *coordination.Coordinator
@@ -99,17 +104,15 @@
 		Callers: s.CallersAddress, Coordinator: s.CoordinatorAddress,
 	})
 	d.peers = peer.NewPool(peerIdle, time.Now)
-	d.link = &link{self: s.CoordinatorAddress, peers: d.peers}
+	d.link = &link{self: s.CoordinatorAddress, peers: d.peers, vacant: make(chan struct{}, 1)}
 	d.state = &state{
 		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyOther,
 	}
-	d.mirror = mirror.New(mirror.Config{
-		Store: p.Store, Log: log, Wait: pollWait, Now: bootclock.Now, Lenient: d.state.lenient, OnChange: d.state.apply,
-	})
-	d.state.mirror = d.mirror
+	d.buildMirrors()
 	d.holder = lease.New(lease.Config{
 		Backend: store.LeaseBackend{Store: p.Store}, Clock: d.clock, Logger: log, Duty: "coordinator", Key: dutyKey,
 		DaemonID: holderID(s.Name, s.CoordinatorAddress), TTL: max(s.Bounds.Lease, leastLease), Candidate: d.mayCampaign,
+		Wake: d.link.vacant,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.buildCoordination()
@@ -120,19 +123,32 @@
 // leastLease is the shortest lease that pkg/lease supports.
 const leastLease = 3 * time.Second
 
+func (d *Daemon) buildMirrors() {
+	operator, fleetPrefix := d.platform.Reader.Prefixes()
+	d.state.fleet = mirror.New(mirror.Config{
+		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, Wait: fleetWait, Now: bootclock.Now,
+		Lenient: d.state.lenient, OnChange: d.state.apply,
+	})
+	d.state.operator = mirror.New(mirror.Config{
+		Store: d.platform.Store, Log: d.log, Prefix: operator, Wait: pollWait, Now: bootclock.Now,
+		OnOutage: d.state.fleet.Interrupt, OnChange: d.state.apply,
+	})
+}
+
 func (d *Daemon) buildCoordination() {
 	s := d.settings
 	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
 		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
+		Members: d.members.reportNames, Civil: d.civil.Now,
 		Rollouts: func() []*coordinatorv1.RolloutState { return nil },
 	})
 	d.link.local = d.coordinator
 	d.agent = coordination.NewAgent(coordination.AgentConfig{
-		Daemon: s.Name + "/" + time.Duration(bootclock.Now()).String(), Log: d.log, Link: d.link, Instances: d.instances,
+		Daemon: reportName(d.members.self), Log: d.log, Link: d.link, Instances: d.instances,
 		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
 		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.count()) },
 		Demand:     d.serviceDemand,
-		OnResponse: func(*coordinatorv1.ReportResponse) {},
+		OnResponse: d.acceptReport,
 	})
 	d.reporter = metering.New(metering.Config{
 		Log: d.log, Store: d.platform.Store, Key: usageKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
@@ -179,6 +195,12 @@
 	return busy
 }
 
+// reportName identifies one incarnation of a daemon in its reports.
+func reportName(m member) string { return m.Name + "/" + strconv.FormatInt(m.Incarnation, 10) }
+
+// acceptReport takes over what the coordinator says about the other daemons.
+func (d *Daemon) acceptReport(r *coordinatorv1.ReportResponse) { d.members.setSilent(r.Silent) }
+
 // applyOther takes over entries that concern single-writer duties.
 func (d *Daemon) applyOther(mirror.Change) {}
 
@@ -187,12 +209,14 @@
 	if d.draining.Load() || !d.state.Fresh(pollWait+time.Second) {
 		return false
 	}
-	_, held := d.mirror.Get(dutyKey)
-	return !held
+	_, held := d.state.fleet.Get(dutyKey)
+	return d.state.fleet.Synced() && !held
 }
 
 // Ready reports whether the daemon can serve requests.
-func (d *Daemon) Ready() bool { return d.state.Table() != nil && !d.draining.Load() }
+func (d *Daemon) Ready() bool {
+	return d.state.Table() != nil && d.state.fleet.Synced() && !d.draining.Load()
+}
 
 // Addresses returns callers' addresses, this daemon's first.
 func (d *Daemon) Addresses(_ string, limit int) []string {
@@ -200,7 +224,7 @@
 	if d.Ready() {
 		addresses = append(addresses, d.settings.CallersAddress)
 	}
-	for _, other := range d.members.list() {
+	for _, other := range d.members.reachable() {
 		addresses = append(addresses, other.Callers)
 	}
 	return addresses[:min(len(addresses), limit)]
@@ -242,7 +266,8 @@
 // serving; the others go on while requests are finished.
 func (d *Daemon) startDuties(work, serving context.Context, runner *duty.Runner) error {
 	threads := []thread{
-		{work, duty.Duty{Name: "mirror", Run: d.mirror.Run}},
+		{work, duty.Duty{Name: "operator mirror", Run: d.state.operator.Run}},
+		{work, duty.Duty{Name: "fleet mirror", Run: d.state.fleet.Run}},
 		{work, duty.Duty{Name: "agent", Run: d.agent.Run}},
 		{work, duty.Duty{Name: "health", Run: d.evaluateHealth}},
 		{serving, duty.Duty{Name: "announce", Run: d.announce}},
@@ -250,7 +275,11 @@
 	}
 	if d.settings.CloudAddress != "" {
 		if d.settings.HasDuty("metering") {
-			threads = append(threads, thread{serving, duty.Duty{Name: "metering", Run: d.reporter.Run}})
+			keeper := &coordination.CountsKeeper{
+				Coordinator: d.coordinator, Store: d.platform.Store, Key: countsKey, Token: d.holder.Token, Log: d.log,
+			}
+			threads = append(threads, thread{serving, duty.Duty{Name: "metering", Run: d.reporter.Run}},
+				thread{serving, duty.Duty{Name: "counts", Run: keeper.Run}})
 		}
 		if d.settings.HasDuty("autoscaler") {
 			threads = append(threads, thread{serving, duty.Duty{Name: "scaling", Run: d.scaler.Run}})
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -13,7 +13,7 @@
 
 // dutyKey is held by the daemon that coordinates the others and performs the
 // single-writer duties.
-const dutyKey = "rudder/duty/coordinator"
+const dutyKey = ownPrefix + "duty/coordinator"
 
 // holderID is the identity that a holder writes into the duty's key.
 func holderID(name, address string) string { return name + "@" + address }
@@ -30,6 +30,8 @@
 	self  string // coordinator address of this daemon
 	local coordinatorv1.CoordinatorServer
 	peers *peer.Pool
+	// vacant gets an item when the duty's key was deleted.
+	vacant chan struct{}
 
 	mu     sync.Mutex
 	holder string // coordinator address; empty if unknown
@@ -40,17 +42,17 @@
 	old := l.holder
 	l.holder = address
 	l.mu.Unlock()
+	if address == "" {
+		select {
+		case l.vacant <- struct{}{}:
+		default:
+		}
+	}
 	if old != "" && old != address && old != l.self {
 		l.peers.Forget(old)
 	}
 }
 
-func (l *link) holderIs(address string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.holder == address
-}
-
 // Coordinator implements coordination.Link.
 func (l *link) Coordinator() (coordinatorv1.CoordinatorClient, bool) {
 	l.mu.Lock()
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -15,7 +15,7 @@
 
 const (
 	// memberPrefix holds one key for each daemon.
-	memberPrefix = "rudder/daemons/"
+	memberPrefix = ownPrefix + "daemons/"
 	// memberTTL is how long a dead daemon is listed.
 	memberTTL = 5 * time.Second
 	// memberRenew leaves room for two failed renewals.
@@ -43,6 +43,7 @@
 	mu     sync.Mutex
 	others map[string]member // by key, this daemon included
 	lease  store.LeaseID
+	silent map[string]bool // by reportName
 }
 
 func newMembers(s store.Store, log *slog.Logger, self member) *members {
@@ -82,6 +83,44 @@
 	return list
 }
 
+// setSilent records which daemons stopped reporting to the coordinator.
+func (m *members) setSilent(names []string) {
+	silent := make(map[string]bool, len(names))
+	for _, name := range names {
+		silent[name] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent = silent
+}
+
+// reachable returns the announced daemons, this one excepted, that report to
+// the coordinator; all of them if none does.
+func (m *members) reachable() []member {
+	all := m.list()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var reachable []member
+	for _, other := range all {
+		if !m.silent[reportName(other)] {
+			reachable = append(reachable, other)
+		}
+	}
+	if len(reachable) == 0 {
+		return all
+	}
+	return reachable
+}
+
+// reportNames returns the names of all announced daemons in their reports.
+func (m *members) reportNames() []string {
+	names := []string{reportName(m.self)}
+	for _, other := range m.list() {
+		names = append(names, reportName(other))
+	}
+	return names
+}
+
 // count returns the number of daemons, this one included.
 func (m *members) count() int { return len(m.list()) + 1 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -108,6 +108,9 @@
 	for ctx.Err() == nil && d.relay.Active() > 0 {
 		sleep(ctx, drainPoll)
 	}
+	if err := d.agent.Leave(ctx, d.platform.Store, countsKey); err != nil {
+		d.log.Warn("usage counts not handed over", "error", err)
+	}
 	if err := s.callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut at the end of the grace", "active", d.relay.Active())
 		_ = s.callers.Close()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -17,6 +17,9 @@
 	InstanceID(key string) (string, bool)
 	// IsTable reports whether the key holds the configuration.
 	IsTable(key string) bool
+	// Prefixes returns those of the operators' keys, and one of the instances'
+	// keys that ownPrefix begins with as well.
+	Prefixes() (operator, fleet string)
 	// Table decodes the configuration.
 	Table(value []byte) (*traffic.Table, error)
 	// Instance decodes an instance's entry.
@@ -30,12 +33,18 @@
 	instances *fleet.Set
 	members   *members
 	link      *link
-	mirror    *mirror.Mirror
-	table     atomic.Pointer[traffic.Table]
-	// onRollout is called with changed entries of roll-outs.
+	// operator mirrors what operators write, fleet what instances and daemons write.
+	operator *mirror.Mirror
+	fleet    *mirror.Mirror
+	table    atomic.Pointer[traffic.Table]
+	// onOther is called with other changed entries.
 	onOther func(mirror.Change)
 }
 
+// ownPrefix begins the keys of the daemons that all of them follow. Together
+// with the instances' keys they are followed by one poll.
+const ownPrefix = "serving/"
+
 // lenient reports whether the removal of a key may be the consequence of an
 // outage of the store.
 func (s *state) lenient(key string) bool {
@@ -119,6 +128,6 @@
 
 // Fresh implements relay.Configuration.
 func (s *state) Fresh(limit time.Duration) bool {
-	age, known := s.mirror.Age()
+	age, known := s.operator.Age()
 	return known && age < limit
 }
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -20,6 +20,9 @@
 	// settle is the time after a window's end in which the daemons' last
 	// reports arrive: several report intervals.
 	settle = 900 * time.Millisecond
+	// patienceShare is the part of the lateness in which a report waits for
+	// daemons that are silent, because a frozen one may wake up.
+	patienceShare = 0.6
 	// step is the pause between two looks at the clock.
 	step = 200 * time.Millisecond
 	// callTimeout bounds a call; the cloud answers late on its slow days.
@@ -34,8 +37,9 @@
 	Cloud cloudduty.Caller
 	// Token returns the fencing token of the duty, 0 while it isn't held.
 	Token func() int64
-	// Counts returns the usage of a window by account.
-	Counts   func(window int64) map[string]int64
+	// Counts returns the usage of a window by account. It isn't known before the
+	// holder has taken over, and complete when all daemons have reported it.
+	Counts   func(window int64, end time.Time) (counts map[string]int64, known, complete bool)
 	Civil    func() time.Time
 	Window   time.Duration
 	Lateness time.Duration // after a window's end in which its usage is due
@@ -137,7 +141,13 @@
 	if r.sinceEnd(r.next) < settle {
 		return nil
 	}
-	next := plan{Window: r.next, Counts: r.config.Counts(r.next)}
+	end := time.Unix(0, (r.next+1)*int64(r.config.Window))
+	counts, known, complete := r.config.Counts(r.next, end)
+	patience := time.Duration(float64(r.config.Lateness) * patienceShare)
+	if !known || !complete && r.sinceEnd(r.next) < patience {
+		return nil
+	}
+	next := plan{Window: r.next, Counts: counts}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "encode usage plan")
@@ -171,6 +181,14 @@
 	}
 	r.pending = false
 	metrics.GetOrCreateCounter("rudder_metering_windows_total").Inc()
-	r.config.Log.Info("usage reported", "window", r.plan.Window, "token", token, "accounts", len(r.plan.Counts))
+	r.config.Log.Info("usage reported", "window", r.plan.Window, "token", token, "requests", total(r.plan.Counts))
 	return nil
 }
+
+func total(counts map[string]int64) int64 {
+	var sum int64
+	for _, count := range counts {
+		sum += count
+	}
+	return sum
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,5 +1,5 @@
-// Package mirror keeps a copy of the platform's store in memory through one
-// list and one long poll. The copy carries the time at which it was last
+// Package mirror keeps a copy of a part of the platform's store in memory
+// through one list and one long poll. The copy carries the time at which it was last
 // proved to be current, so that readers can stop trusting it.
 package mirror
 
@@ -51,6 +51,9 @@
 type Config struct {
 	Store Poller
 	Log   *slog.Logger
+	// Prefix selects the keys of the copy. Keys that change often and that no
+	// reader needs stay outside, because each change ends every daemon's poll.
+	Prefix string
 	// Wait is the longest wait of a poll. A proof is at most that old while
 	// the store answers.
 	Wait time.Duration
@@ -59,6 +62,8 @@
 	// Lenient reports whether the removal of a key is applied late when it may
 	// be a consequence of an outage.
 	Lenient func(key string) bool
+	// OnOutage is called when a call fails. It must not block.
+	OnOutage func()
 	// OnChange is called for each change in revision order. It must not block.
 	OnChange func(Change)
 }
@@ -75,6 +80,8 @@
 	proof  atomic.Int64 // Now() at which the call of the latest proof was sent; 0 means never
 	outage atomic.Int64 // Now() of the latest failed call
 	synced atomic.Bool
+	// interrupts ends the poll that waits.
+	interrupts chan struct{}
 }
 
 // removal is a deletion that waits for the entry to come back.
@@ -85,7 +92,10 @@
 
 // New returns an empty mirror.
 func New(config Config) *Mirror {
-	return &Mirror{config: config, items: map[string]store.KeyValue{}, removals: map[string]removal{}}
+	return &Mirror{
+		config: config, items: map[string]store.KeyValue{}, removals: map[string]removal{},
+		interrupts: make(chan struct{}, 1),
+	}
 }
 
 // Age returns how long ago the copy was proved current, and false if it never was.
@@ -138,6 +148,9 @@
 				m.config.Log.Warn("dependency lost", "dependency", "store", "error", err)
 			}
 			m.outage.Store(int64(m.config.Now()))
+			if m.config.OnOutage != nil {
+				m.config.OnOutage()
+			}
 			pause = retry + rand.N(retry)
 			retry = min(retry*2, maxRetry)
 		} else {
@@ -165,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	sent := m.config.Now()
-	entries, revision, err := m.config.Store.List(ctx, "")
+	entries, revision, err := m.config.Store.List(ctx, m.config.Prefix)
 	if err != nil {
 		return err
 	}
@@ -199,7 +212,10 @@
 	defer cancel()
 	after := m.Revision()
 	sent := m.config.Now()
-	events, revision, err := m.config.Store.Poll(ctx, "", after, wait)
+	finished := make(chan struct{})
+	defer close(finished)
+	go m.interruptible(cancel, finished)
+	events, revision, err := m.config.Store.Poll(ctx, m.config.Prefix, after, wait)
 	if err != nil {
 		return err
 	}
@@ -219,6 +235,23 @@
 	return nil
 }
 
+// Interrupt ends the poll that waits, because its connection may be dead.
+func (m *Mirror) Interrupt() {
+	select {
+	case m.interrupts <- struct{}{}:
+	default:
+	}
+}
+
+// interruptible calls cancel at an interrupt, until the poll has finished.
+func (m *Mirror) interruptible(cancel context.CancelFunc, finished <-chan struct{}) {
+	select {
+	case <-m.interrupts:
+		cancel()
+	case <-finished:
+	}
+}
+
 func (m *Mirror) prove(sent time.Duration) {
 	if outage := m.outage.Load(); outage > m.proof.Load() {
 		m.config.Log.Info("dependency regained", "dependency", "store", "revision", m.Revision())
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -20,17 +20,16 @@
 	q.beganRunning()
 	lease.Began()
 	body, err := io.ReadAll(io.LimitReader(reply, maxWhole+1))
-	switch {
-	case err != nil && q.http.Context().Err() != nil:
-		return left, err.Error()
-	case err != nil && ctx.Err() != nil:
-		lease.Observe(true, 0, 0)
-		return expired, err.Error()
-	case err != nil:
+	q.patience.begun()
+	if err != nil {
+		if end, ended := q.endOf(ctx, lease); ended {
+			return end, err.Error()
+		}
 		q.failed(lease, sent)
 		return lost, "truncated reply: " + err.Error()
 	}
 	latency := q.relay.options.Clock.Since(sent)
+	q.relay.latencies.observe(q.route.Name, latency)
 	lease.Observe(false, latency, 0)
 	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, lease.Version, false, latency)
 	if len(body) > maxWhole {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,6 +98,8 @@
 	options Options
 	metrics relayMetrics
 	active  atomic.Int64
+	// latencies tell how long answers usually take to begin.
+	latencies latencies
 }
 
 // New returns a Relay.
@@ -129,6 +131,8 @@
 	ran      bool // an instance may have run the request
 	began    bool // counted as begun
 	started  bool // the head of the answer was written
+	patience *patience
+	prepaid  atomic.Bool // the next attempt was taken from the retry budget
 	outcome  string
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -110,7 +110,7 @@
 		return q.late()
 	case end == broken && !stream.resumable():
 		return unknown(result.UpstreamIncomplete, "the stream broke without an event ID")
-	case !q.relay.options.Budget.Take(q.service.Name):
+	case !q.prepaid.Swap(false) && !q.relay.options.Budget.Take(q.service.Name):
 		return q.exhausted(end, "the retry budget is spent")
 	}
 	return nil
@@ -147,10 +147,13 @@
 		return expired, "the account keys may be out of date"
 	}
 	sent := options.Clock.Now()
+	ctx, patience := q.withPatience(ctx)
+	defer patience.stop()
 	reply, err := options.Pool.Do(ctx, exchange.Peer{ID: lease.ID, Address: lease.Address}, q.encode(lease, stream))
 	if err != nil {
 		return q.failedExchange(ctx, lease, err)
 	}
+	q.patience = patience
 	defer reply.Close()
 	switch options.Wire.Judge(reply.Status, reply.Header) {
 	case NotExecuted:
@@ -186,13 +189,10 @@
 		q.attempts++
 		q.ran = true
 	}
-	switch {
-	case q.http.Context().Err() != nil:
-		return left, err.Error()
-	case ctx.Err() != nil:
-		lease.Observe(true, 0, 0)
-		return expired, err.Error()
-	case notSent:
+	if end, ended := q.endOf(ctx, lease); ended {
+		return end, err.Error()
+	}
+	if notSent {
 		lease.Observe(true, 0, 0)
 		return unsent, err.Error()
 	}
@@ -200,6 +200,21 @@
 	return lost, err.Error()
 }
 
+// endOf tells why the attempt's context ended, if it did.
+func (q *request) endOf(ctx context.Context, lease *fleet.Lease) (attemptEnd, bool) {
+	switch {
+	case q.http.Context().Err() != nil:
+		return left, true
+	case errors.Is(context.Cause(ctx), errSlow):
+		q.failed(lease, time.Time{})
+		return lost, true
+	case ctx.Err() != nil:
+		lease.Observe(true, 0, 0)
+		return expired, true
+	}
+	return answered, false
+}
+
 func (q *request) failed(lease *fleet.Lease, sent time.Time) {
 	lease.Observe(true, 0, 0)
 	var latency time.Duration
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -45,6 +45,7 @@
 		if whole := wholeEvents(pending); whole > 0 {
 			if first {
 				first = false
+				q.patience.begun()
 				q.firstEvent(lease, sent)
 			}
 			q.writeHead(reply, -1)
@@ -77,6 +78,7 @@
 	expected := expectedPrefill + time.Duration(float64(q.info.PromptTokens)/prefillPerMs*float64(time.Millisecond))
 	lease.Observe(false, latency, expected)
 	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, lease.Version, false, latency)
+	q.relay.latencies.observe(q.route.Name, latency)
 	if lease.Load.Inflight == 0 && latency < maxIdleLatency {
 		q.relay.options.Demand.FirstEvent(q.service.Name, q.info.PromptTokens, q.info.SharedTokens, latency)
 	}
@@ -84,12 +86,8 @@
 }
 
 func (q *request) brokenStream(ctx context.Context, lease *fleet.Lease, stream *streamState, sent time.Time, err error) (attemptEnd, string) {
-	switch {
-	case q.http.Context().Err() != nil:
-		return left, err.Error()
-	case ctx.Err() != nil:
-		lease.Observe(true, 0, 0)
-		return expired, err.Error()
+	if end, ended := q.endOf(ctx, lease); ended {
+		return end, err.Error()
 	}
 	q.failed(lease, sent)
 	if stream.begun {
--- a/internal/scaling/demand.go
+++ b/internal/scaling/demand.go
@@ -24,7 +24,9 @@
 )
 
 // Work returns the prompt tokens that an engine has to read.
-func Work(prompt, shared int) float64 { return float64(prompt) - cachedShare*float64(min(shared, prompt)) }
+func Work(prompt, shared int) float64 {
+	return float64(prompt) - cachedShare*float64(min(shared, prompt))
+}
 
 // Estimator measures the work that clients offer to the services, at one
 // daemon. It is safe for concurrent use.
--- a/internal/scaling/duty.go
+++ b/internal/scaling/duty.go
@@ -25,6 +25,8 @@
 	reclaimedTime = 6 * time.Second
 	// shrinkAfter is how long a surplus must last before instances are given back.
 	shrinkAfter = 4 * time.Second
+	// settleTime is how long instances that stood at the start take to be listed.
+	settleTime = 3 * time.Second
 	// learnTime is how long the demand is watched before instances that stood
 	// at the start are given back.
 	learnTime = 2500 * time.Millisecond
@@ -63,6 +65,8 @@
 // serviceState is what the duty knows of one service.
 type serviceState struct {
 	places   map[Place]*placeState
+	settled  time.Duration // from when on instances that stood at the start are listed
+	started  int           // instances that stood before any was ordered
 	loaded   time.Duration // demand was first seen; 0 if not yet
 	lostAt   time.Duration // an order got no answer; 0 if none did
 	repeated time.Duration
@@ -142,7 +146,8 @@
 	learning := s.loaded == 0 || now-s.loaded < learnTime
 	s.observe(counts, learning, now)
 	plan := Plan(d.config.Policy, Situation{
-		Scaling: service.Scaling, Need: d.need(s, busy, learning), Standing: s.standing(), Dry: now < s.dryUntil,
+		Scaling: service.Scaling, Need: d.need(s, busy, learning), Ready: readyReclaimable(counts),
+		Ordered: s.orderedReclaimable(), Dry: now < s.dryUntil,
 	})
 	repeat := s.mustRepeat(now)
 	for _, centre := range byPrice(service.Scaling.Prices) {
@@ -159,22 +164,16 @@
 // it is what the operators started with.
 func (d *Duty) need(s *serviceState, busy float64, learning bool) int {
 	need := d.config.Policy.Need(busy)
-	if !learning {
-		return need
+	if learning {
+		return max(need, s.started)
 	}
-	started := 0
-	for place, p := range s.places {
-		if !place.Reclaimable {
-			started += p.ordered
-		}
-	}
-	return max(need, started)
+	return need
 }
 
 func (d *Duty) stateOf(service *traffic.Service, counts map[Place]count) *serviceState {
 	s := d.services[service.Name]
 	if s == nil {
-		s = &serviceState{places: map[Place]*placeState{}}
+		s = &serviceState{places: map[Place]*placeState{}, settled: d.config.Now() + settleTime}
 		d.services[service.Name] = s
 	}
 	for centre := range service.Scaling.Prices {
@@ -191,27 +190,45 @@
 // observe takes over what stands: instances that were started by others while
 // no number was ordered, and those that the cloud takes away.
 func (s *serviceState) observe(counts map[Place]count, learning bool, now time.Duration) {
+	started := 0
 	for place, p := range s.places {
 		c := counts[place]
 		if learning && !p.known {
 			p.ordered = max(p.ordered, c.ready)
 		}
+		if !place.Reclaimable {
+			started += p.ordered
+		}
 		if place.Reclaimable && c.leaving > 0 && c.ready == 0 && p.ordered > 0 {
 			s.dryUntil = max(s.dryUntil, now+reclaimedTime)
 			p.ordered = 0
 		}
 	}
+	if learning {
+		s.started = max(s.started, started)
+	}
+}
+
+// readyReclaimable returns the reclaimable instances that serve, by data centre.
+func readyReclaimable(counts map[Place]count) map[string]int {
+	ready := map[string]int{}
+	for place, c := range counts {
+		if place.Reclaimable {
+			ready[place.DataCentre] = c.ready
+		}
+	}
+	return ready
 }
 
-// standing returns the reclaimable instances by data centre.
-func (s *serviceState) standing() map[string]int {
-	standing := map[string]int{}
+// orderedReclaimable returns the reclaimable instances that were ordered, by data centre.
+func (s *serviceState) orderedReclaimable() map[string]int {
+	ordered := map[string]int{}
 	for place, p := range s.places {
 		if place.Reclaimable {
-			standing[place.DataCentre] = p.ordered
+			ordered[place.DataCentre] = p.ordered
 		}
 	}
-	return standing
+	return ordered
 }
 
 // mustRepeat reports whether all numbers are to be ordered again because an
@@ -233,7 +250,7 @@
 	if place.Reclaimable && now < s.dryUntil {
 		return false
 	}
-	if learning && !place.Reclaimable {
+	if learning && !place.Reclaimable && (now < s.settled || wanted > p.ordered) {
 		return false
 	}
 	if wanted >= p.ordered {
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -26,7 +26,7 @@
 // DefaultPolicy suits engines whose long prompts take as long as the latency
 // objective of the short questions beside them.
 func DefaultPolicy() Policy {
-	return Policy{Utilization: 0.28, FloorShare: 0.5, SpareShare: 1.1, MinNeed: 3}
+	return Policy{Utilization: 0.28, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3}
 }
 
 // Place is a kind of instance in a data centre.
@@ -40,8 +40,10 @@
 	Scaling *traffic.Scaling
 	// Need is the number of instances that carry the load.
 	Need int
-	// Standing reclaimable instances by data centre.
-	Standing map[string]int
+	// Ready reclaimable instances by data centre.
+	Ready map[string]int
+	// Ordered reclaimable instances by data centre.
+	Ordered map[string]int
 	// Dry means that no further reclaimable instances are to be had.
 	Dry bool
 }
@@ -51,29 +53,27 @@
 	return max(int(math.Ceil(busy/p.Utilization)), p.MinNeed)
 }
 
-// Plan returns the number of instances for each place. Instances that aren't
-// reclaimable go to the cheapest data centres, reclaimable ones are spread so
-// that the loss of a data centre's leaves enough.
+// Plan returns the number of instances for each place. Reclaimable instances
+// are spread so that the loss of a data centre's leaves enough. The others go
+// to the cheapest data centres and fill up what the reclaimable ones that are
+// ready would leave.
 func Plan(policy Policy, s Situation) map[Place]int {
 	centres := byPrice(s.Scaling.Prices)
 	plan := map[Place]int{}
 	for _, c := range centres {
 		plan[Place{c, false}], plan[Place{c, true}] = 0, 0
 	}
-	floor := int(math.Ceil(policy.FloorShare * float64(s.Need)))
-	switch {
-	case s.Scaling.SpotFactor <= 0 || len(centres) < 2:
-		floor = s.Need
-	case s.Dry:
-		floor = max(floor, s.Need-keptAfterLoss(s.Standing))
+	floor := s.Need
+	if s.Scaling.SpotFactor > 0 && len(centres) > 1 {
+		least := policy.FloorShare * float64(s.Need)
+		kept := float64(keptAfterLoss(s.Ready))
+		floor = int(math.Ceil(max(least, policy.SpareShare*float64(s.Need)-kept)))
+		each := int(math.Ceil((policy.SpareShare*float64(s.Need) - least) / float64(len(centres)-1)))
 		for _, c := range centres {
-			plan[Place{c, true}] = s.Standing[c]
-		}
-	default:
-		spare := max(policy.SpareShare*float64(s.Need)-float64(floor), 0)
-		each := int(math.Ceil(spare / float64(len(centres)-1)))
-		for _, c := range centres {
-			plan[Place{c, true}] = min(each, s.Scaling.Max)
+			plan[Place{c, true}] = min(max(each, 0), s.Scaling.Max)
+			if s.Dry {
+				plan[Place{c, true}] = s.Ordered[c]
+			}
 		}
 	}
 	placeFloor(plan, centres, s.Scaling, floor)
@@ -82,9 +82,9 @@
 
 // keptAfterLoss returns how many reclaimable instances remain when the data
 // centre with the most of them loses its own.
-func keptAfterLoss(standing map[string]int) int {
+func keptAfterLoss(ready map[string]int) int {
 	sum, most := 0, 0
-	for _, n := range standing {
+	for _, n := range ready {
 		sum += n
 		most = max(most, n)
 	}
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -26,10 +26,16 @@
 	safetyMargin = 500 * time.Millisecond
 	// With these shares of the time to live, two renewals can time out and a
 	// third one still comes before the deadline.
-	renewShare     = 0.25
-	callShare      = 0.2
+	renewShare = 0.25
+	callShare  = 0.2
+	// campaignShare bounds the three calls of a campaign together. A store that
+	// answers in 400 ms must still be able to appoint a holder.
+	campaignShare  = 0.5
 	retryShare     = 0.05
 	releaseTimeout = time.Second
+	// wakeSpread is the part of the time to live over which daemons that wake
+	// together begin to campaign.
+	wakeSpread = 0.1
 )
 
 var errTokenFell = errors.New("store revision is not above an earlier fencing token")
@@ -46,6 +52,9 @@
 	// Candidate reports whether this daemon should campaign at present. Nil
 	// means always. A holder keeps the lease when it is no candidate any more.
 	Candidate func() bool
+	// Wake cuts the wait before the next campaign short, for example when the
+	// duty's key was seen to be deleted. Nil means never.
+	Wake <-chan struct{}
 	// OnChange is called when the daemon gets or loses the duty. It must not block.
 	OnChange func(held bool, token int64)
 }
@@ -170,11 +179,25 @@
 	select {
 	case <-ctx.Done():
 		return false
+	case <-h.config.Wake:
+		return h.spread(ctx) && ctx.Err() == nil
 	case <-timer.Chan():
 		return ctx.Err() == nil
 	}
 }
 
+// spread waits a little, so that daemons that wake together don't campaign together.
+func (h *Holder) spread(ctx context.Context) bool {
+	timer := h.config.Clock.NewTimer(rand.N(h.share(wakeSpread)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
 // renew prolongs the validity if the answer arrives before the deadline. It
 // reports whether the store answered.
 func (h *Holder) renew(ctx context.Context) bool {
@@ -240,7 +263,7 @@
 	if !h.config.Candidate() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.share(callShare))
+	ctx, cancel := context.WithTimeout(ctx, h.share(campaignShare))
 	defer cancel()
 	entry, err := h.config.Backend.Get(ctx, h.config.Key)
 	if err != nil {
