--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,9 +42,10 @@
 }
 
 const (
-	// pollWait is the longest wait of a poll: it bounds the age of the
-	// configuration's proof and costs one call per daemon.
-	pollWait = 2 * time.Second
+	// pollWait is the longest wait of the poll for the configuration. It bounds
+	// the age of the configuration's proof, so that the keys outlast the first
+	// 3 s of an outage, and costs one call per daemon.
+	pollWait = 1200 * time.Millisecond
 	// fleetWait is the longest wait of the poll for instances and daemons. A
 	// failure of the other poll ends it early.
 	fleetWait = 8 * time.Second
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -77,7 +77,7 @@
 	removals map[string]removal
 	revision int64
 
-	proof  atomic.Int64 // Now() at which the call of the latest proof was sent; 0 means never
+	proof  atomic.Int64 // Now() at which the copy was current; 0 means never
 	outage atomic.Int64 // Now() of the latest failed call
 	synced atomic.Bool
 	// interrupts ends the poll that waits.
@@ -231,10 +231,20 @@
 	m.revision = max(m.revision, revision)
 	m.mu.Unlock()
 	m.publish(changes)
-	m.prove(sent)
+	m.prove(provedAt(sent, m.config.Now(), wait, len(events)))
 	return nil
 }
 
+// provedAt returns the time at which a poll has shown the copy to be current.
+// An answer without changes was made when the wait was over, as the store
+// answers at once when there is one; the wait began after the call was sent.
+func provedAt(sent, answered, wait time.Duration, events int) time.Duration {
+	if events == 0 && answered-sent >= wait {
+		return sent + wait
+	}
+	return sent
+}
+
 // Interrupt ends the poll that waits, because its connection may be dead.
 func (m *Mirror) Interrupt() {
 	select {
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -26,7 +26,7 @@
 // DefaultPolicy suits engines whose long prompts take as long as the latency
 // objective of the short questions beside them.
 func DefaultPolicy() Policy {
-	return Policy{Utilization: 0.28, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3}
+	return Policy{Utilization: 0.32, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3}
 }
 
 // Place is a kind of instance in a data centre.
@@ -67,7 +67,7 @@
 	if s.Scaling.SpotFactor > 0 && len(centres) > 1 {
 		least := policy.FloorShare * float64(s.Need)
 		kept := float64(keptAfterLoss(s.Ready))
-		floor = int(math.Ceil(max(least, policy.SpareShare*float64(s.Need)-kept)))
+		floor = int(math.Ceil(max(least, float64(s.Need)-kept)))
 		each := int(math.Ceil((policy.SpareShare*float64(s.Need) - least) / float64(len(centres)-1)))
 		for _, c := range centres {
 			plan[Place{c, true}] = min(max(each, 0), s.Scaling.Max)
