--- a/internal/coordination/counts.go
+++ b/internal/coordination/counts.go
@@ -17,7 +17,7 @@
 	// keepInterval is the time between two writes of the counts: the usage that
 	// is lost when all machines lose power. A twentieth of a metering window
 	// may be lost.
-	keepInterval = 200 * time.Millisecond
+	keepInterval = 250 * time.Millisecond
 	// keepTimeout bounds a call to the store.
 	keepTimeout = 800 * time.Millisecond
 	// storedWindows is the number of windows that are written.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,6 +46,10 @@
 	// the age of the configuration's proof, so that the keys outlast the first
 	// 3 s of an outage, and costs one call per daemon.
 	pollWait = 1200 * time.Millisecond
+	// pollPause and fleetPause are waits between two polls. They are small beside
+	// the 2 s in which a configuration applies and a leaving instance gets no work.
+	pollPause  = 200 * time.Millisecond
+	fleetPause = 400 * time.Millisecond
 	// fleetWait is the longest wait of the poll for instances and daemons. A
 	// failure of the other poll ends it early.
 	fleetWait = 8 * time.Second
@@ -127,11 +131,11 @@
 func (d *Daemon) buildMirrors() {
 	operator, fleetPrefix := d.platform.Reader.Prefixes()
 	d.state.fleet = mirror.New(mirror.Config{
-		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, Wait: fleetWait, Now: bootclock.Now,
+		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, Wait: fleetWait, Pause: fleetPause, Now: bootclock.Now,
 		Lenient: d.state.lenient, OnChange: d.state.apply,
 	})
 	d.state.operator = mirror.New(mirror.Config{
-		Store: d.platform.Store, Log: d.log, Prefix: operator, Wait: pollWait, Now: bootclock.Now,
+		Store: d.platform.Store, Log: d.log, Prefix: operator, Wait: pollWait, Pause: pollPause, Now: bootclock.Now,
 		OnOutage: d.state.fleet.Interrupt, OnChange: d.state.apply,
 	})
 }
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -17,8 +17,9 @@
 	Service string
 	// Affinity groups requests that share a long part of their prompt; empty if none.
 	Affinity string
-	// Prompt is the number of prompt tokens.
-	Prompt int
+	// Prompt is the number of prompt tokens, Shared that of the part which
+	// Affinity names.
+	Prompt, Shared int
 	// Excluded instances have failed the request.
 	Excluded []string
 	// Accept filters by version; nil accepts all.
@@ -43,10 +44,13 @@
 	// one running request: 100 ms of prefill at 140 tokens a ms delay an event
 	// of a stream about as much as a fully used place.
 	prefillUnit = 6000.0
-	// affinityRanks is the number of instances on which one shared prompt is cached.
-	affinityRanks = 2
-	// affinityBonus is what a cached shared prompt is worth.
-	affinityBonus = 3.0
+	// sharedUnit is the number of cached prompt tokens that are worth one
+	// running request. Reading a token again costs about three times what it
+	// costs others to wait for it.
+	sharedUnit = 1200.0
+	// secondRank is the part of that worth which the second instance in
+	// rendezvous order has: it takes over when the first is busy.
+	secondRank = 0.5
 	// sickPenalty ranks an ejected instance behind every healthy one.
 	sickPenalty = 1000.0
 	// coldPenalty ranks an instance that is still slow after its start.
@@ -64,14 +68,17 @@
 	defer s.mu.Unlock()
 	var best *Instance
 	bestScore := 0.0
-	ranks := s.affinityRanks(q)
+	home, second := s.homes(q)
 	for _, i := range s.byService[q.Service] {
 		if !s.eligible(i, q) {
 			continue
 		}
 		score := s.score(i, q)
-		if slices.Contains(ranks, i.ID) {
-			score -= affinityBonus
+		switch i {
+		case home:
+			score -= float64(q.Shared) / sharedUnit
+		case second:
+			score -= float64(q.Shared) / sharedUnit * secondRank
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = i, score
@@ -116,36 +123,26 @@
 	return score
 }
 
-// affinityRanks returns the first instances in rendezvous order for the shared
+// homes returns the first two instances in rendezvous order for the shared
 // prompt, the same on every daemon with the same view.
-func (s *Set) affinityRanks(q Query) []string {
+func (s *Set) homes(q Query) (home, second *Instance) {
 	if q.Affinity == "" {
-		return nil
+		return nil, nil
 	}
-	type ranked struct {
-		id   string
-		hash uint64
-	}
-	var list []ranked
+	var most, next uint64
 	for _, i := range s.byService[q.Service] {
-		if s.eligible(i, q) && i.weight > 0 {
-			list = append(list, ranked{i.ID, rendezvous(q.Affinity, i.ID)})
+		if !s.eligible(i, q) || i.weight <= 0 {
+			continue
 		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		switch {
-		case a.hash > b.hash:
-			return -1
-		case a.hash < b.hash:
-			return 1
+		switch hash := rendezvous(q.Affinity, i.ID); {
+		case home == nil || hash > most:
+			second, next = home, most
+			home, most = i, hash
+		case second == nil || hash > next:
+			second, next = i, hash
 		}
-		return 0
-	})
-	var ids []string
-	for _, r := range list[:min(affinityRanks, len(list))] {
-		ids = append(ids, r.id)
 	}
-	return ids
+	return home, second
 }
 
 func rendezvous(key, id string) uint64 {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// settlePause is the wait between two polls, so that a burst of changes
-	// costs few calls. It is small beside the 2 s within which changes must apply.
-	settlePause = 200 * time.Millisecond
 	// minRetry and maxRetry bound the wait after a failed call.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 400 * time.Millisecond
@@ -57,6 +54,8 @@
 	// Wait is the longest wait of a poll. A proof is at most that old while
 	// the store answers.
 	Wait time.Duration
+	// Pause is the wait between two polls, so that a burst of changes costs few calls.
+	Pause time.Duration
 	// Now returns the time since some fixed moment, counting suspensions.
 	Now func() time.Duration
 	// Lenient reports whether the removal of a key is applied late when it may
@@ -142,7 +141,7 @@
 				err = nil
 			}
 		}
-		pause := settlePause
+		pause := m.config.Pause
 		if err != nil && ctx.Err() == nil {
 			if m.outage.Load() <= m.proof.Load() {
 				m.config.Log.Warn("dependency lost", "dependency", "store", "error", err)
@@ -206,7 +205,7 @@
 func (m *Mirror) poll(ctx context.Context) error {
 	wait := m.config.Wait
 	if due, pending := m.nextRemoval(); pending {
-		wait = min(wait, max(due-m.config.Now(), settlePause))
+		wait = min(wait, max(due-m.config.Now(), m.config.Pause))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -91,6 +91,7 @@
 func (q *request) pick() (*fleet.Lease, error) {
 	query := fleet.Query{
 		Service: q.service.Name, Affinity: q.info.Affinity, Prompt: q.info.PromptTokens, Excluded: q.excluded,
+		Shared: q.info.SharedTokens,
 		Accept: q.relay.options.Versions.Accept(q.service.Name, q.info.ID), DataCentre: q.relay.options.DataCentre,
 	}
 	return q.relay.options.Instances.Pick(query)
