--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -76,7 +76,7 @@
 			}
 		}
 	}
-	placeFloor(plan, centres, s.Scaling, floor)
+	placeFloor(plan, centres, s, floor)
 	return plan
 }
 
@@ -92,19 +92,22 @@
 }
 
 // placeFloor adds instances that aren't reclaimable: first what the minimum of
-// each data centre asks for, then in the cheapest ones.
-func placeFloor(plan map[Place]int, centres []string, scaling *traffic.Scaling, floor int) {
+// each data centre asks for, then in the cheapest ones. They have precedence
+// over reclaimable ones that aren't there yet.
+func placeFloor(plan map[Place]int, centres []string, s Situation, floor int) {
 	for _, c := range centres {
-		if missing := scaling.Min - plan[Place{c, true}]; missing > 0 {
+		if missing := s.Scaling.Min - plan[Place{c, true}]; missing > 0 {
 			plan[Place{c, false}] = missing
 			floor -= missing
 		}
 	}
 	for _, c := range centres {
-		room := scaling.Max - plan[Place{c, true}] - plan[Place{c, false}]
+		standing := min(plan[Place{c, true}], max(s.Ready[c], 0))
+		room := s.Scaling.Max - standing - plan[Place{c, false}]
 		add := max(min(room, floor), 0)
 		plan[Place{c, false}] += add
 		floor -= add
+		plan[Place{c, true}] = min(plan[Place{c, true}], s.Scaling.Max-plan[Place{c, false}])
 	}
 }
 
--- /dev/null
+++ b/internal/scaling/scaling_test.go
@@ -0,0 +1,265 @@
+package scaling_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+)
+
+var bounds = &traffic.Scaling{
+	Min: 1, Max: 12, BootTime: 4 * time.Second, SpotFactor: 0.18,
+	Prices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1.0},
+}
+
+// Guards against a reclaim of one data centre leaving less than the load needs.
+func TestPlanSurvivesTheLossOfADataCentre(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		need := rapid.IntRange(3, 20).Draw(t, "need")
+		ready := map[string]int{}
+		for _, c := range []string{"a", "b", "c"} {
+			ready[c] = rapid.IntRange(0, 8).Draw(t, "ready "+c)
+		}
+		dry := rapid.Bool().Draw(t, "dry")
+		plan := scaling.Plan(scaling.DefaultPolicy(), scaling.Situation{
+			Scaling: bounds, Need: need, Ready: ready, Ordered: ready, Dry: dry,
+		})
+		floor, most, sum := 0, 0, 0
+		for place, n := range plan {
+			if !place.Reclaimable {
+				floor += n
+			}
+		}
+		for _, n := range ready {
+			sum += n
+			most = max(most, n)
+		}
+		if floor+sum-most < need {
+			t.Fatalf("%d of %d remain after the loss of a data centre: %v", floor+sum-most, need, plan)
+		}
+		for c := range bounds.Prices {
+			total := plan[scaling.Place{DataCentre: c}] + plan[scaling.Place{DataCentre: c, Reclaimable: true}]
+			if total < bounds.Min || total > bounds.Max {
+				t.Fatalf("%d instances in %s are outside the bounds: %v", total, c, plan)
+			}
+		}
+	})
+}
+
+// Guards against paying for a dear data centre while a cheap one has room.
+func TestPlanUsesTheCheapestDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	plan := scaling.Plan(scaling.DefaultPolicy(), scaling.Situation{
+		Scaling: &traffic.Scaling{Min: 1, Max: 12, Prices: bounds.Prices}, Need: 10,
+	})
+	g.Expect(plan[scaling.Place{DataCentre: "a"}]).To(Equal(8))
+	g.Expect(plan[scaling.Place{DataCentre: "b"}]).To(Equal(1))
+	g.Expect(plan[scaling.Place{DataCentre: "c"}]).To(Equal(1))
+}
+
+// fleetSim lets a cloud change a set of instances on a fake clock.
+type fleetSim struct {
+	clock  *clockwork.FakeClock
+	began  time.Time
+	set    *fleet.Set
+	ready  map[scaling.Place]int
+	boot   map[scaling.Place][]time.Time
+	next   int
+	dry    bool
+	lose   bool // the next order takes effect but gets no answer
+	orders int
+	ids    map[scaling.Place][]string
+}
+
+func newFleetSim() *fleetSim {
+	clock := clockwork.NewFakeClock()
+	return &fleetSim{
+		clock: clock, began: clock.Now(), set: fleet.NewSet(clock, slog.New(slog.DiscardHandler)),
+		ready: map[scaling.Place]int{}, boot: map[scaling.Place][]time.Time{}, ids: map[scaling.Place][]string{},
+	}
+}
+
+func (f *fleetSim) now() time.Duration { return f.clock.Since(f.began) + time.Hour }
+
+func (f *fleetSim) add(p scaling.Place) {
+	f.next++
+	id := "i" + time.Duration(f.next).String()
+	f.ids[p] = append(f.ids[p], id)
+	f.set.Put(fleet.Description{ID: id, Service: "s", Address: id, DataCentre: p.DataCentre, Slots: 24, Reclaimable: p.Reclaimable})
+}
+
+// ReportUsage implements cloudduty.Caller.
+func (f *fleetSim) ReportUsage(context.Context, int64, int64, map[string]int64) error { return nil }
+
+// Order implements cloudduty.Caller.
+func (f *fleetSim) Order(_ context.Context, _ int64, o cloudduty.Order) error {
+	f.orders++
+	place := scaling.Place{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable}
+	if o.Reclaimable && f.dry && o.Instances > len(f.ids[place]) {
+		return cloudduty.ErrConflict
+	}
+	missing := o.Instances - len(f.ids[place]) - len(f.boot[place])
+	for range max(missing, 0) {
+		f.boot[place] = append(f.boot[place], f.clock.Now().Add(bounds.BootTime))
+	}
+	for range max(-missing, 0) {
+		if n := len(f.ids[place]); n > 0 {
+			f.set.Remove(f.ids[place][n-1])
+			f.ids[place] = f.ids[place][:n-1]
+		}
+	}
+	if f.lose {
+		f.lose = false
+		return cloudduty.ErrUnknown
+	}
+	return nil
+}
+
+func (f *fleetSim) step(d *scaling.Duty, t *testing.T) {
+	f.clock.Advance(250 * time.Millisecond)
+	for place, due := range f.boot {
+		var later []time.Time
+		for _, at := range due {
+			if f.clock.Now().Before(at) {
+				later = append(later, at)
+			} else {
+				f.add(place)
+			}
+		}
+		f.boot[place] = later
+	}
+	d.Step(t.Context())
+}
+
+// reclaim takes all reclaimable instances of a data centre away after a notice.
+func (f *fleetSim) notice(centre string) {
+	place := scaling.Place{DataCentre: centre, Reclaimable: true}
+	for _, id := range f.ids[place] {
+		f.set.Put(fleet.Description{ID: id, Service: "s", Address: id, DataCentre: centre, Slots: 24, Reclaimable: true, Leaving: true})
+	}
+	f.dry = true
+}
+
+func (f *fleetSim) take(centre string) {
+	place := scaling.Place{DataCentre: centre, Reclaimable: true}
+	for _, id := range f.ids[place] {
+		f.set.Remove(id)
+	}
+	f.ids[place] = nil
+}
+
+func (f *fleetSim) total(reclaimable bool) int {
+	n := 0
+	for place, ids := range f.ids {
+		if place.Reclaimable == reclaimable {
+			n += len(ids)
+		}
+	}
+	return n
+}
+
+func (f *fleetSim) duty(busy *float64) *scaling.Duty {
+	table := traffic.NewTable(1, nil, []*traffic.Service{{Name: "s", Scaling: bounds}}, nil, nil, traffic.Limits{})
+	return scaling.New(scaling.Config{
+		Log: slog.New(slog.DiscardHandler), Cloud: f, Token: func() int64 { return 7 },
+		Table: func() *traffic.Table { return table }, Instances: f.set,
+		Busy: func() map[string]float64 { return map[string]float64{"s": *busy} },
+		Now:  f.now, Policy: scaling.DefaultPolicy(), Forbidden: func(string) bool { return false },
+	})
+}
+
+// start lets a day begin with 18 instances and a load.
+func (f *fleetSim) start(t *testing.T, busy *float64) *scaling.Duty {
+	for _, c := range []string{"a", "b", "c"} {
+		for range 6 {
+			f.add(scaling.Place{DataCentre: c})
+		}
+	}
+	d := f.duty(busy)
+	for range 40 {
+		f.step(d, t)
+	}
+	*busy = 3
+	for range 80 {
+		f.step(d, t)
+	}
+	return d
+}
+
+// Pattern of the quiet days: reclaimable instances carry the load, the data
+// centres lose theirs one after the other and none are to be had meanwhile.
+// Guards against the fleet falling below the need for longer than a boot.
+func TestWavesOfReclaims(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleetSim()
+	var busy float64
+	d := f.start(t, &busy)
+	need := scaling.DefaultPolicy().Need(busy)
+	g.Expect(f.total(false)).To(BeNumerically("<=", (need+1)/2), "the floor is small while reclaimable ones stand")
+	g.Expect(f.total(false) + f.total(true)).To(BeNumerically(">=", need))
+	short := 0
+	for wave, centre := range []string{"b", "a", "c"} {
+		f.notice(centre)
+		for i := range 24 { // 6 s
+			f.step(d, t)
+			if i == 10 {
+				f.take(centre)
+			}
+			if f.total(false)+f.total(true) < need {
+				short++
+			}
+		}
+		t.Logf("wave %d: %d others, %d reclaimable", wave, f.total(false), f.total(true))
+	}
+	g.Expect(short).To(BeNumerically("<=", 0), "rounds of 250 ms below the need")
+	g.Expect(f.total(false)).To(BeNumerically(">=", need))
+	f.dry = false
+	for range 80 {
+		f.step(d, t)
+	}
+	g.Expect(f.total(false)).To(BeNumerically("<=", (need+1)/2), "the floor shrinks when reclaimable ones are back")
+}
+
+// Guards against instances being given back before those that stand are
+// listed: a first version ordered two where six stood.
+func TestNoOrderShrinksTheFleetAtTheStart(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleetSim()
+	busy := 0.0
+	d := f.duty(&busy)
+	f.add(scaling.Place{DataCentre: "a"})
+	for range 4 {
+		f.step(d, t)
+	}
+	for range 5 {
+		f.add(scaling.Place{DataCentre: "a"})
+	}
+	for range 4 {
+		f.step(d, t)
+	}
+	g.Expect(f.total(false)).To(Equal(6))
+}
+
+// Guards against an order that is carried out late undoing a newer one.
+func TestOrdersAreRepeatedAfterALostAnswer(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleetSim()
+	var busy float64
+	d := f.start(t, &busy)
+	f.lose = true
+	busy = 4
+	before := f.orders
+	for range 64 {
+		f.step(d, t)
+	}
+	g.Expect(f.orders-before).To(BeNumerically(">=", 12), "all places are ordered again every 3 s")
+}
--- /dev/null
+++ b/test/standin/platform/cloud.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// Report is a usage report that the cloud accepted.
+type Report struct {
+	Window int64            `json:"windowNo"`
+	Counts map[string]int64 `json:"counts"`
+	Holder string           `json:"-"`
+	Token  int64            `json:"-"`
+}
+
+// Order is an order of instances that the cloud accepted.
+type Order struct {
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Desired int    `json:"desired"`
+	Spot    bool   `json:"spot"`
+}
+
+// Cloud accepts the calls of single-writer duties and notes broken promises.
+type Cloud struct {
+	mu       sync.Mutex
+	down     bool
+	dry      bool
+	highest  int64
+	holders  map[int64]string
+	reports  map[int64]Report
+	orders   []Order
+	problems []string
+}
+
+// NewCloud returns a cloud without calls.
+func NewCloud() *Cloud { return &Cloud{holders: map[int64]string{}, reports: map[int64]Report{}} }
+
+// SetDown makes the cloud answer 503.
+func (c *Cloud) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+// SetDry makes the cloud refuse orders of reclaimable instances.
+func (c *Cloud) SetDry(dry bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dry = dry
+}
+
+// Reports returns the accepted usage reports by window.
+func (c *Cloud) Reports() map[int64]Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.reports)
+}
+
+// Orders returns the accepted orders.
+func (c *Cloud) Orders() []Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Order{}, c.orders...)
+}
+
+// Problems returns broken promises: two reports of one window with other
+// counts, or one token of two holders.
+func (c *Cloud) Problems() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string{}, c.problems...)
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	token, err := strconv.ParseInt(r.Header.Get("X-Fence-Token"), 10, 64)
+	holder := r.Header.Get("X-Duty-Holder")
+	if err != nil || holder == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if other, known := c.holders[token]; known && other != holder {
+		c.problems = append(c.problems, "token "+strconv.FormatInt(token, 10)+" of "+other+" and "+holder)
+	}
+	c.holders[token] = holder
+	if token < c.highest {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	c.highest = token
+	switch r.URL.Path {
+	case "/usage":
+		c.usage(w, r, holder, token)
+	case "/replicas":
+		c.replicas(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (c *Cloud) usage(w http.ResponseWriter, r *http.Request, holder string, token int64) {
+	report := Report{Holder: holder, Token: token}
+	if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if old, known := c.reports[report.Window]; known && !maps.Equal(old.Counts, report.Counts) {
+		c.problems = append(c.problems, "window "+strconv.FormatInt(report.Window, 10)+" reported twice with other counts")
+	}
+	c.reports[report.Window] = report
+}
+
+func (c *Cloud) replicas(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if order.Spot && c.dry {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	c.orders = append(c.orders, order)
+}
--- /dev/null
+++ b/test/standin/platform/store.go
@@ -0,0 +1,357 @@
+// Package platform is a stand-in of the users' platform: a key-value store and
+// a cloud on the wire that platform/ speaks, with faults.
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults of the store. The zero value is a healthy store.
+type Faults struct {
+	Down bool          // answers 503
+	Mute bool          // doesn't answer
+	Lose bool          // executes writes and drops the connection
+	Slow time.Duration // delays every answer
+}
+
+// item is a stored entry or, in the history, a change.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Lease    int64  `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// lease is a time to live shared by keys.
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Store is the key-value store.
+type Store struct {
+	mu        sync.Mutex
+	changed   chan struct{} // closed and replaced at each change
+	faults    Faults
+	revision  int64
+	compacted int64
+	items     map[string]item
+	history   []item
+	leases    map[int64]*lease
+	nextLease int64
+	calls     int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		changed: make(chan struct{}), revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, nextLease: 100,
+	}
+}
+
+// SetFaults replaces the faults. While the store is down, leases run on.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Put writes a key as the operator or an instance does, and returns the revision.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+	return s.revision
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// Value returns the value of a key, nil if it doesn't exist.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.items[key].Value
+}
+
+// Keys returns the keys below prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+	s.announce()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) put(key string, value []byte, id int64) {
+	s.revision++
+	created := s.revision
+	if old, ok := s.items[key]; ok {
+		created = old.Created
+	}
+	entry := item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: id}
+	s.items[key] = entry
+	s.history = append(s.history, entry)
+	s.announce()
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Deleted: true})
+	s.announce()
+}
+
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases whose time is over.
+func (s *Store) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id int64) {
+	delete(s.leases, id)
+	for key, entry := range s.items {
+		if entry.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	faults := s.faults
+	s.mu.Unlock()
+	time.Sleep(faults.Slow)
+	switch {
+	case faults.Mute:
+		<-r.Context().Done()
+		return
+	case faults.Down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	status, body := s.handle(r)
+	if faults.Lose && r.Method != http.MethodGet {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body) // a caller that left needs no answer
+	}
+}
+
+func (s *Store) handle(r *http.Request) (int, any) {
+	path, id := strings.TrimPrefix(r.URL.Path, "/api/"), int64(0)
+	if name, number, ok := strings.Cut(path, "/"); ok {
+		path = name
+		id, _ = strconv.ParseInt(number, 10, 64) // 0 is no lease
+	}
+	if path == "kv-watch" {
+		return s.watch(r)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	switch path {
+	case "kv-key":
+		return s.get(r.URL.Query().Get("key"))
+	case "kv-range":
+		return s.list(r.URL.Query().Get("pathPrefix"), r.URL.Query().Get("after"))
+	case "kv-txn":
+		return s.txn(r)
+	case "kv-lease":
+		return s.grant(r)
+	case "kv-keep":
+		l := s.leases[id]
+		if l == nil {
+			return http.StatusNotFound, nil
+		}
+		l.until = time.Now().Add(l.ttl)
+		return http.StatusOK, map[string]int64{"ttlMs": l.ttl.Milliseconds()}
+	case "kv-lease-end":
+		if s.leases[id] == nil {
+			return http.StatusNotFound, nil
+		}
+		s.end(id)
+		return http.StatusOK, nil
+	}
+	return http.StatusNotFound, nil
+}
+
+func (s *Store) get(key string) (int, any) {
+	entry, ok := s.items[key]
+	if !ok {
+		return http.StatusNotFound, map[string]int64{"storeRevision": s.revision}
+	}
+	return http.StatusOK, struct {
+		item
+		StoreRevision int64 `json:"storeRevision"`
+	}{entry, s.revision}
+}
+
+// pageSize is small, so that lists have several pages in tests.
+const pageSize = 20
+
+func (s *Store) list(prefix, after string) (int, any) {
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageSize
+	items := []item{}
+	for _, key := range keys[:min(len(keys), pageSize)] {
+		items = append(items, s.items[key])
+	}
+	return http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": s.revision}
+}
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var body struct {
+		TTL int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.nextLease++
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.leases[s.nextLease] = &lease{ttl: ttl, until: time.Now().Add(ttl)}
+	return http.StatusOK, map[string]int64{"lease": s.nextLease, "ttlMs": body.TTL}
+}
+
+func (s *Store) txn(r *http.Request) (int, any) {
+	var body struct {
+		Conditions []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expectRev"`
+		Puts    []item   `json:"puts"`
+		Deletes []string `json:"delete"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	current, holds := []item{}, true
+	for _, c := range body.Conditions {
+		entry, ok := s.items[c.Key]
+		holds = holds && entry.Revision == c.Revision
+		if ok {
+			current = append(current, entry)
+		}
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
+	}
+	for _, put := range body.Puts {
+		if put.Lease != 0 && s.leases[put.Lease] == nil {
+			return http.StatusNotFound, nil
+		}
+	}
+	for _, put := range body.Puts {
+		s.put(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range body.Deletes {
+		s.remove(key)
+	}
+	return http.StatusOK, map[string]int64{"revision": s.revision}
+}
+
+func (s *Store) watch(r *http.Request) (int, any) {
+	query := r.URL.Query()
+	after, errAfter := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	if errAfter != nil || errWait != nil {
+		return http.StatusBadRequest, nil
+	}
+	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer deadline.Stop()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		s.expire()
+		events, revision, gone, changed := s.since(query.Get("pathPrefix"), after)
+		s.mu.Unlock()
+		switch {
+		case gone:
+			return http.StatusGone, nil
+		case len(events) > 0 || over:
+			return http.StatusOK, map[string]any{"events": events, "storeRevision": revision}
+		}
+		select {
+		case <-r.Context().Done():
+			return http.StatusServiceUnavailable, nil
+		case <-deadline.C:
+			over = true
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after int64) (events []item, revision int64, gone bool, changed chan struct{}) {
+	events = []item{}
+	if after < s.compacted {
+		return nil, 0, true, nil
+	}
+	for _, change := range s.history {
+		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
+			events = append(events, change)
+		}
+	}
+	return events, s.revision, false, s.changed
+}
--- /dev/null
+++ b/test/standin/worker/worker.go
@@ -0,0 +1,176 @@
+// Package worker is a stand-in of the platform's workers: model engines and
+// application services that record what they run, with faults on the wire.
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Behaviour changes how a worker answers. The zero value is a sound worker.
+type Behaviour struct {
+	Refuse     bool          // 503 with the mark that nothing ran
+	Fail       bool          // runs and answers 500
+	LoseAnswer bool          // runs and closes the connection
+	CutAfter   int           // closes a stream after so many events; 0 means never
+	CutInEvent bool          // ends a cut stream in the middle of an event
+	Delay      time.Duration // before the answer begins
+	EventGap   time.Duration // between events
+}
+
+// Run is one request that a worker ran.
+type Run struct {
+	RequestID string
+	Tenant    string
+	Path      string
+	Key       string // Authorization, which must not arrive
+	LastEvent string
+	Body      int
+}
+
+// Worker serves on a listener of its own.
+type Worker struct {
+	ID      string
+	Service string
+	Events  int // of a stream
+
+	behaviour atomic.Pointer[Behaviour]
+	listener  net.Listener
+	server    *http.Server
+	active    atomic.Int64
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Start listens on address and serves.
+func Start(id, service, address string, events int) (*Worker, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{ID: id, Service: service, Events: events, listener: listener}
+	w.behaviour.Store(&Behaviour{})
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.server.Serve(listener) }() // ends with Stop
+	return w, nil
+}
+
+// Address returns ip:port.
+func (w *Worker) Address() string { return w.listener.Addr().String() }
+
+// Set changes the behaviour.
+func (w *Worker) Set(b Behaviour) { w.behaviour.Store(&b) }
+
+// Stop closes the listener and all connections, as a crash does.
+func (w *Worker) Stop() { _ = w.server.Close() }
+
+// Runs returns what the worker ran.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run{}, w.runs...)
+}
+
+// Active returns the number of requests that the worker runs.
+func (w *Worker) Active() int { return int(w.active.Load()) }
+
+// Entry returns the worker's entry in the store.
+func (w *Worker) Entry(zone, state string) []byte {
+	entry, err := json.Marshal(map[string]any{
+		"service": w.Service, "addr": w.Address(), "zone": zone, "configVer": "v1", "slots": 24, "state": state,
+		"coldLeftMs": 0, "phase": "both", "seq": 1, "born": 1,
+	})
+	if err != nil {
+		panic(err) // a map of plain values always encodes
+	}
+	return entry
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	b := w.behaviour.Load()
+	id := r.Header.Get("X-Request-Id")
+	rw.Header().Set("X-Request-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.ID {
+		rw.Header().Set("X-Instance-Id", w.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if b.Refuse {
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.run(rw, r, b, len(body))
+}
+
+func (w *Worker) run(rw http.ResponseWriter, r *http.Request, b *Behaviour, body int) {
+	w.active.Add(1)
+	defer w.active.Add(-1)
+	w.mu.Lock()
+	w.runs = append(w.runs, Run{
+		RequestID: r.Header.Get("X-Request-Id"), Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI,
+		Key: r.Header.Get("Authorization"), LastEvent: r.Header.Get("Last-Event-Id"), Body: body,
+	})
+	w.mu.Unlock()
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(b.Delay):
+	}
+	rw.Header().Set("X-Response-Seal", w.ID+"."+r.Header.Get("X-Request-Id"))
+	switch {
+	case b.LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case b.Fail:
+		http.Error(rw, "failed", http.StatusInternalServerError)
+	case w.Events > 0:
+		w.stream(rw, r, b)
+	default:
+		_, _ = fmt.Fprintf(rw, "%s ran %s", w.ID, r.Header.Get("X-Request-Id")) // a caller that left needs no answer
+	}
+}
+
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, b *Behaviour) {
+	first := 0
+	if last := strings.TrimSpace(r.Header.Get("Last-Event-Id")); last != "" {
+		if n, err := strconv.Atoi(last); err == nil {
+			first = n + 1
+		}
+	}
+	rw.Header().Set("Content-Type", "text/event-stream")
+	flusher, _ := rw.(http.Flusher)
+	sent := 0
+	for i := first; i < w.Events; i++ {
+		if b.CutAfter > 0 && sent >= b.CutAfter {
+			if b.CutInEvent {
+				_, _ = fmt.Fprintf(rw, "id: %d\nda", i)
+				flusher.Flush()
+			}
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d\n\n", i, i); err != nil {
+			return
+		}
+		flusher.Flush()
+		sent++
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(b.EventGap):
+		}
+	}
+}
