Bring in new versions by a deadline; bound idle connections to instances

Cause: orders of roll-outs were ignored. Daemons together keep 0.3 of an instance's connections idle.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -70,6 +70,8 @@
 	SlackShare func() float64
 	// Demand returns the service demand to report.
 	Demand func() []*coordinatorv1.ServiceDemand
+	// Evidence returns the outcomes by version to report.
+	Evidence func() []*coordinatorv1.VersionEvidence
 	// Cursor returns how far the daemon follows the coordinator's mirror.
 	Cursor func() *coordinatorv1.MirrorCursor
 	// OnResponse is called with each answer and the time at which its request
@@ -199,6 +201,7 @@
 		})
 	}
 	request.Services = a.config.Demand()
+	request.Evidence = a.config.Evidence()
 	request.Fleet = a.config.Cursor()
 	return request
 }
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -130,6 +130,7 @@
 			Civil: clock.Now, Now: f.now, UsageWindow: 5 * time.Second,
 			SlackShare: func() float64 { return slack / 2 / float64(n) },
 			Demand:     func() []*coordinatorv1.ServiceDemand { return nil },
+			Evidence:   func() []*coordinatorv1.VersionEvidence { return nil },
 			OnLost:     func() {},
 			Cursor:     func() *coordinatorv1.MirrorCursor { return nil },
 			OnResponse: func(*coordinatorv1.ReportResponse, time.Duration) {},
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -292,3 +292,14 @@
 	}
 	return names
 }
+
+// Evidence returns the outcomes by version that the daemons have reported.
+func (c *Coordinator) Evidence() []*coordinatorv1.VersionEvidence {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var evidence []*coordinatorv1.VersionEvidence
+	for _, report := range c.reports {
+		evidence = append(evidence, report.evidence...)
+	}
+	return evidence
+}
--- a/internal/edge/budgets.go
+++ b/internal/edge/budgets.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -54,12 +53,3 @@
 
 // Take implements relay.Budget.
 func (b *budgets) Take(service string) bool { return b.of(service).Take() }
-
-// anyVersion lets every version serve.
-type anyVersion struct{}
-
-// Accept implements relay.Versions.
-func (anyVersion) Accept(string, string) func(string) bool { return nil }
-
-// Observe implements relay.Versions.
-func (anyVersion) Observe(string, string, string, bool, time.Duration) {}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/relay"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
@@ -64,9 +65,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// ackTimeout breaks connections to silent instances.
 	ackTimeout = 1500 * time.Millisecond
-	// idleLimit and maxIdle bound kept connections to an instance.
+	// idleLimit is how long a connection to an instance is kept.
 	idleLimit = 10 * time.Second
-	maxIdle   = 16
 	// healthInterval is the time between two evaluations of the instances' health.
 	healthInterval = 500 * time.Millisecond
 	// dutyWorkers is the size of the pool: one worker for each duty.
@@ -98,6 +98,8 @@
 	civil       *bootclock.Civil
 	estimator   *scaling.Estimator
 	scaler      *scaling.Duty
+	gate        *rollout.Gate
+	rollouts    *rollout.Duty
 
 	followMu sync.Mutex
 	follower follower
@@ -126,6 +128,11 @@
 		DaemonID: holderID(s.Name, s.CoordinatorAddress), TTL: max(s.Bounds.Lease, leastLease), Candidate: d.mayCampaign,
 		Wake: d.link.vacant,
 	})
+	d.gate = rollout.NewGate()
+	d.rollouts = rollout.New(rollout.Config{
+		Log: log, Store: p.Store, Token: d.holder.Token, Civil: d.civil.Now, Policy: rollout.DefaultPolicy(),
+		Evidence: d.fleetEvidence, Status: p.Reader.RolloutStatus,
+	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.buildCoordination()
 	d.buildRelay()
@@ -162,7 +169,7 @@
 		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
 		Complete: d.completeReport,
 		Members:  d.members.reportNames, Civil: d.civil.Now,
-		Rollouts: func() []*coordinatorv1.RolloutState { return nil },
+		Rollouts: d.rolloutStates,
 	})
 	d.link.local = d.coordinator
 	d.agent = coordination.NewAgent(coordination.AgentConfig{
@@ -170,6 +177,7 @@
 		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
 		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.count()) },
 		Demand:     d.serviceDemand,
+		Evidence:   d.evidence,
 		Cursor:     d.cursor,
 		OnResponse: d.acceptReport,
 		OnLost:     d.loseCoordinator,
@@ -181,21 +189,21 @@
 	d.scaler = scaling.New(scaling.Config{
 		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
 		Busy: d.fleetBusy, Now: bootclock.Now, Policy: scaling.DefaultPolicy(),
-		Forbidden: func(string) bool { return false },
+		Forbidden: d.rollouts.Open,
 	})
 }
 
 func (d *Daemon) buildRelay() {
 	s := d.settings
 	pool := exchange.NewPool(exchange.Config{
-		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleLimit: idleLimit, MaxIdle: maxIdle,
+		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleLimit: idleLimit,
 	})
 	d.instances.OnGone = pool.Forget
 	d.relay = relay.New(relay.Options{
 		Clock: d.clock, Log: d.log, Wire: d.platform.Wire, Configuration: d.state, Instances: d.instances, Pool: pool,
-		Quota: d.agent, Meter: d.agent, Budget: newBudgets(s.Bounds, d.clock, d.members.count), Versions: anyVersion{},
+		Quota: d.agent, Meter: d.agent, Budget: newBudgets(s.Bounds, d.clock, d.members.count), Versions: d.gate,
 		Demand:     d.estimator,
-		DataCentre: s.DataCentre, KeyFreshness: s.Bounds.KeyRevocation - keyMargin,
+		DataCentre: s.DataCentre, Daemons: d.members.count, KeyFreshness: s.Bounds.KeyRevocation - keyMargin,
 		Draining: d.draining.Load, Refusing: d.refusing.Load,
 	})
 }
@@ -225,12 +233,10 @@
 // acceptReport takes over what the coordinator says about the other daemons.
 func (d *Daemon) acceptReport(r *coordinatorv1.ReportResponse, sent time.Duration) {
 	d.members.setSilent(r.Silent)
+	d.acceptRollouts(r.Rollouts)
 	d.follow(r, sent)
 }
 
-// applyOther takes over entries that concern single-writer duties.
-func (d *Daemon) applyOther(mirror.Change) {}
-
 // Ready reports whether the daemon can serve requests.
 func (d *Daemon) Ready() bool {
 	return d.state.Table() != nil && d.state.fleet.Synced() && !d.draining.Load()
@@ -290,6 +296,7 @@
 		{work, duty.Duty{Name: "health", Run: d.evaluateHealth}},
 		{serving, duty.Duty{Name: "announce", Run: d.announce}},
 		{serving, duty.Duty{Name: "lease", Run: d.holder.Run}},
+		{serving, duty.Duty{Name: "roll-outs", Run: d.rollouts.Run}},
 	}
 	if d.settings.CloudAddress != "" {
 		if d.settings.HasDuty("metering") {
--- /dev/null
+++ b/internal/edge/rollouts.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
+)
+
+// applyOther takes over orders of roll-outs.
+func (d *Daemon) applyOther(c mirror.Change) {
+	service, isRollout := d.platform.Reader.RolloutService(c.Key)
+	if !isRollout {
+		return
+	}
+	if c.Deleted {
+		d.gate.DropOrder(service)
+		d.rollouts.DropOrder(service)
+		d.log.Info("roll-out order removed", "service", service, "revision", c.ModRevision)
+		return
+	}
+	order, err := d.platform.Reader.Rollout(service, c.Value, c.ModRevision)
+	if err != nil {
+		d.log.Warn("roll-out order ignored", "service", service, "revision", c.ModRevision, "error", err)
+		return
+	}
+	d.gate.SetOrder(order)
+	d.rollouts.SetOrder(order)
+	d.log.Info("roll-out ordered", "service", service, "target", order.Target, "within", order.Within, "revision", c.ModRevision)
+}
+
+// evidence reports this daemon's counters to the coordinator.
+func (d *Daemon) evidence() []*coordinatorv1.VersionEvidence {
+	var evidence []*coordinatorv1.VersionEvidence
+	for key, c := range d.gate.Counters() {
+		evidence = append(evidence, &coordinatorv1.VersionEvidence{
+			Service: key.Service, Version: key.Version, Route: key.Route,
+			Requests: c.Requests, Failures: c.Failures, LatencySeconds: c.Latency,
+		})
+	}
+	return evidence
+}
+
+// fleetEvidence sums the counters of all daemons.
+func (d *Daemon) fleetEvidence() map[rollout.Key]rollout.Counters {
+	sums := map[rollout.Key]rollout.Counters{}
+	for _, e := range d.coordinator.Evidence() {
+		key := rollout.Key{Service: e.Service, Version: e.Version, Route: e.Route}
+		sum := sums[key]
+		sum.Requests += e.Requests
+		sum.Failures += e.Failures
+		sum.Latency += e.LatencySeconds
+		sums[key] = sum
+	}
+	return sums
+}
+
+// rolloutStates tells the daemons how roll-outs stand.
+func (d *Daemon) rolloutStates() []*coordinatorv1.RolloutState {
+	var states []*coordinatorv1.RolloutState
+	for _, s := range d.rollouts.States() {
+		states = append(states, &coordinatorv1.RolloutState{
+			Service: s.Order.Service, Target: s.Order.Target, Share: s.Share, Outcome: string(s.Outcome),
+			OrderRevision: s.Order.Revision,
+		})
+	}
+	return states
+}
+
+// acceptRollouts takes over what the coordinator tells.
+func (d *Daemon) acceptRollouts(states []*coordinatorv1.RolloutState) {
+	for _, s := range states {
+		d.gate.SetState(rollout.State{
+			Order: rollout.Order{Service: s.Service, Target: s.Target, Revision: s.OrderRevision},
+			Share: s.Share, Outcome: rollout.Outcome(s.Outcome),
+		})
+	}
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 )
 
@@ -22,6 +23,12 @@
 	Prefixes() (operator, fleet string)
 	// Table decodes the configuration.
 	Table(value []byte) (*traffic.Table, error)
+	// RolloutService returns the service whose roll-out order has the key.
+	RolloutService(key string) (string, bool)
+	// Rollout decodes the order of a roll-out.
+	Rollout(service string, value []byte, revision int64) (rollout.Order, error)
+	// RolloutStatus encodes the outcome of a roll-out for the operators.
+	RolloutStatus(order rollout.Order, outcome rollout.Outcome) (key string, value []byte, err error)
 	// Instance decodes an instance's entry.
 	Instance(id string, value []byte) (fleet.Description, error)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -26,6 +26,8 @@
 type Peer struct {
 	ID      string
 	Address string // ip:port
+	// MaxIdle bounds the idle connections that are kept to it.
+	MaxIdle int
 }
 
 // Request is what is sent, byte for byte.
@@ -171,5 +173,5 @@
 		return
 	}
 	r.conn.idleLimit = parseIdleLimit(r.Header.Get("Keep-Alive"))
-	r.pool.put(r.peer.ID, r.conn)
+	r.pool.put(r.peer, r.conn)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 			}()
 		}
 	}()
-	return exchange.Peer{ID: "u1", Address: listener.Addr().String()}
+	return exchange.Peer{ID: "u1", Address: listener.Addr().String(), MaxIdle: 4}
 }
 
 // readRequest reads one request with its body and returns its ID.
@@ -57,7 +58,7 @@
 
 func pool() *exchange.Pool {
 	return exchange.NewPool(exchange.Config{
-		DialTimeout: 200 * time.Millisecond, AckTimeout: time.Second, IdleLimit: 5 * time.Second, MaxIdle: 4,
+		DialTimeout: 200 * time.Millisecond, AckTimeout: time.Second, IdleLimit: 5 * time.Second,
 	})
 }
 
@@ -186,7 +187,7 @@
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	peer := exchange.Peer{ID: "u1", Address: listener.Addr().String()}
+	peer := exchange.Peer{ID: "u1", Address: listener.Addr().String(), MaxIdle: 4}
 	g.Expect(listener.Close()).To(Succeed())
 	_, err = body(t.Context(), pool(), peer, request("r", "x"))
 	g.Expect(errors.Is(err, exchange.ErrNotSent)).To(BeTrue())
@@ -224,3 +225,30 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Pattern: fresh connections of requests that may not be repeated. Guards
+// against idle connections filling up what an instance accepts of all daemons:
+// 16 of each of 7 daemons were more than its 100.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	var open atomic.Int64
+	peer := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		open.Add(1)
+		defer open.Add(-1)
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = c.Write([]byte(answer(id, "whole")))
+		}
+	})
+	peer.MaxIdle = 2
+	p := pool()
+	for range 10 {
+		r := request("r", "x")
+		r.Fresh = true
+		g.Expect(body(t.Context(), p, peer, r)).To(Equal("whole"))
+	}
+	g.Eventually(open.Load, time.Second).Should(BeNumerically("<=", 2))
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -16,8 +16,6 @@
 	AckTimeout time.Duration
 	// IdleLimit is the longest time that a connection is kept idle.
 	IdleLimit time.Duration
-	// MaxIdle bounds the idle connections to one instance.
-	MaxIdle int
 }
 
 // idleMargin is how long before the announced end of its idle time a
@@ -75,13 +73,13 @@
 }
 
 // put keeps a connection on which a whole response was read and nothing follows.
-func (p *Pool) put(id string, c *conn) {
+func (p *Pool) put(peer Peer, c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	list := p.idle[id]
-	full := len(list) >= p.config.MaxIdle
+	list := p.idle[peer.ID]
+	full := len(list) >= peer.MaxIdle
 	if !full {
-		p.idle[id] = append(list, c)
+		p.idle[peer.ID] = append(list, c)
 	}
 	p.mu.Unlock()
 	if full {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,7 @@
 	Versions      Versions
 	Demand        Demand
 	DataCentre    string
+	Daemons       func() int // number of daemons that use the instances
 	// KeyFreshness is how old the proof of the configuration may be for a
 	// request with an account key.
 	KeyFreshness time.Duration
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -91,11 +91,12 @@
 	s.table.Store(traffic.NewTable(1, routes, services, []*traffic.Account{account},
 		map[string]*traffic.Account{key: account}, traffic.Limits{MaxBodyBytes: 1 << 20}))
 	pool := exchange.NewPool(exchange.Config{
-		DialTimeout: 200 * time.Millisecond, AckTimeout: time.Second, IdleLimit: time.Second, MaxIdle: 4,
+		DialTimeout: 200 * time.Millisecond, AckTimeout: time.Second, IdleLimit: time.Second,
 	})
 	handler := relay.New(relay.Options{
 		Clock: clock, Log: log, Wire: platform.Headers{}, Configuration: s, Instances: s.set, Pool: pool,
 		Quota: quota{s}, Meter: s, Budget: s, Versions: s, Demand: s, KeyFreshness: 4500 * time.Millisecond,
+		Daemons:  func() int { return 1 },
 		Draining: func() bool { return false }, Refusing: func() bool { return false },
 	})
 	server := httptest.NewServer(handler)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -16,6 +16,10 @@
 const (
 	// unsentLimit bounds attempts of which no byte was sent.
 	unsentLimit = 6
+	// idleShare is the part of the connections that an instance accepts which
+	// the daemons keep idle, mostIdle the largest number at one daemon.
+	idleShare = 0.3
+	mostIdle  = 16
 	// leastAttempt is the least remaining time for which a request is sent.
 	leastAttempt = 20 * time.Millisecond
 )
@@ -150,7 +154,7 @@
 	sent := options.Clock.Now()
 	ctx, patience := q.withPatience(ctx)
 	defer patience.stop()
-	reply, err := options.Pool.Do(ctx, exchange.Peer{ID: lease.ID, Address: lease.Address}, q.encode(lease, stream))
+	reply, err := options.Pool.Do(ctx, q.peer(lease), q.encode(lease, stream))
 	if err != nil {
 		return q.failedExchange(ctx, lease, err)
 	}
@@ -183,6 +187,17 @@
 	return q.relayWhole(ctx, reply, lease, sent)
 }
 
+// peer names the instance. The daemons together keep a part of the connections
+// that an instance accepts idle; the rest is for requests.
+func (q *request) peer(lease *fleet.Lease) exchange.Peer {
+	idle := mostIdle
+	if limit := q.service.MaxConnections; limit > 0 {
+		share := float64(limit) * idleShare / float64(max(q.relay.options.Daemons(), 1))
+		idle = min(int(share), mostIdle)
+	}
+	return exchange.Peer{ID: lease.ID, Address: lease.Address, MaxIdle: idle}
+}
+
 // failedExchange classifies an exchange without a reply.
 func (q *request) failedExchange(ctx context.Context, lease *fleet.Lease, err error) (attemptEnd, string) {
 	notSent := errors.Is(err, exchange.ErrNotSent)
