--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 PROTOC_GEN_GO_GRPC_VERSION := v1.6.2
 
-.PHONY: build run test bench lint capacity generate tools
+.PHONY: build run test soak bench lint capacity generate tools
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./test/standin/cmd/... ./test/load/...
@@ -17,8 +17,15 @@
 
 # The failure tests measure times, so they don't share the machine with others.
 test:
-	go test $$(go list ./... | grep -v /test/e2e$$)
+	go test $$(go list ./... | grep -v -e /test/e2e$$ -e /test/soak$$)
 	go test ./test/e2e
+	go test ./test/soak
+
+# Plays fresh seeds, or those that SEED and SEEDS name.
+SEED ?= 0
+SEEDS ?= 5
+soak: build
+	go run ./test/soak --binary $(BIN)/rudderd --seed $(SEED) --seeds $(SEEDS)
 
 bench:
 	go run ./test/bench
--- a/cmd/rudderd/edge.go
+++ b/cmd/rudderd/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
@@ -83,3 +84,16 @@
 		},
 	}
 }
+
+type edgeCheckCmd struct {
+	File string `arg:"" help:"INI file." type:"existingfile"`
+}
+
+// Run checks the file.
+func (c *edgeCheckCmd) Run() error {
+	if _, err := settings.LoadEdge(c.File); err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok\n", c.File)
+	return nil
+}
--- a/cmd/rudderd/main.go
+++ b/cmd/rudderd/main.go
@@ -16,9 +16,10 @@
 )
 
 type commands struct {
-	Run           runCmd   `cmd:"" help:"Run the daemon until SIGTERM."`
-	Edge          edgeCmd  `cmd:"" help:"Run the daemon of a deployment on the users' platform until SIGTERM."`
-	CheckSettings checkCmd `cmd:"" help:"Check a settings file and exit."`
+	Run           runCmd       `cmd:"" help:"Run the daemon until SIGTERM."`
+	Edge          edgeCmd      `cmd:"" help:"Run the daemon of a deployment on the users' platform until SIGTERM."`
+	CheckSettings checkCmd     `cmd:"" help:"Check a settings file and exit."`
+	CheckEdge     edgeCheckCmd `cmd:"" help:"Check the settings file of an edge daemon and exit."`
 }
 
 type runCmd struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -148,7 +148,7 @@
 		if !c.reused || strays > maxStrayReplies || response.Close {
 			return nil, errors.New("reply belongs to another request")
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); err != io.EOF {
+		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
 			return nil, errors.New("reply of another request has no end")
 		}
 	}
@@ -157,7 +157,7 @@
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Reply) Read(buffer []byte) (int, error) {
 	n, err := r.response.Body.Read(buffer)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		r.whole = true
 	}
 	return n, err
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -19,8 +19,8 @@
 	metrics.GetOrCreateCounter("rudder_relay_client_gone_total").Inc()
 }
 
-func (relayMetrics) firstEvent(route string, latency time.Duration) {
-	metrics.GetOrCreateHistogram(fmt.Sprintf("rudder_relay_first_event_seconds{semantics=%q}", "streaming")).Update(latency.Seconds())
+func (relayMetrics) firstEvent(latency time.Duration) {
+	metrics.GetOrCreateHistogram("rudder_relay_first_event_seconds").Update(latency.Seconds())
 }
 
 // finish writes the line and the metrics of a finished request.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 )
@@ -60,7 +62,7 @@
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0 && !first:
+		case errors.Is(err, io.EOF) && len(pending) == 0 && !first:
 			return answered, ""
 		case err != nil:
 			return q.brokenStream(ctx, lease, stream, sent, err)
@@ -82,7 +84,7 @@
 	if lease.Load.Inflight == 0 && latency < maxIdleLatency {
 		q.relay.options.Demand.FirstEvent(q.service.Name, q.info.PromptTokens, q.info.SharedTokens, latency)
 	}
-	q.relay.metrics.firstEvent(q.route.Name, q.relay.options.Clock.Since(q.received))
+	q.relay.metrics.firstEvent(q.relay.options.Clock.Since(q.received))
 }
 
 func (q *request) brokenStream(ctx context.Context, lease *fleet.Lease, stream *streamState, sent time.Time, err error) (attemptEnd, string) {
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,215 @@
+package rollout_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+)
+
+// memory is a store of single keys.
+type memory struct {
+	store.Store
+	revision int64
+	items    map[string]store.KeyValue
+	lose     bool // the next write takes effect without an answer
+}
+
+func (m *memory) Get(_ context.Context, key string) (store.KeyValue, error) { return m.items[key], nil }
+
+func (m *memory) Txn(_ context.Context, conditions []store.Condition, ops []store.Op) (store.TxnResult, error) {
+	for _, c := range conditions {
+		if m.items[c.Key].ModRevision != c.ModRevision {
+			return store.TxnResult{}, nil
+		}
+	}
+	m.revision++
+	for _, op := range ops {
+		m.items[op.Key] = store.KeyValue{Key: op.Key, Value: op.Value, ModRevision: m.revision}
+	}
+	if m.lose {
+		m.lose = false
+		return store.TxnResult{}, store.ErrOutcomeUnknown
+	}
+	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
+}
+
+// day is a service with two versions under load.
+type day struct {
+	clock *clockwork.FakeClock
+	store *memory
+	gate  *rollout.Gate
+	duty  *rollout.Duty
+	token int64
+	order rollout.Order
+	// failing returns the share of the new version's answers that fail, slow
+	// the factor of its latency.
+	failing func(since time.Duration, share float64) float64
+	slow    float64
+	began   time.Time
+
+	random   *rand.Rand
+	requests int
+	exposed  int
+	badSeen  int
+	after50  int
+}
+
+func newDay(seed uint64) *day {
+	d := &day{
+		clock: clockwork.NewFakeClock(), store: &memory{items: map[string]store.KeyValue{}}, gate: rollout.NewGate(), token: 1,
+		order:   rollout.Order{Service: "s", Target: "v2", Within: 15 * time.Second, Revision: 3},
+		failing: func(time.Duration, float64) float64 { return 0 }, slow: 1, random: rand.New(rand.NewPCG(seed, 9)),
+	}
+	d.duty = d.newDuty()
+	d.began = d.clock.Now()
+	d.gate.SetOrder(d.order)
+	return d
+}
+
+func (d *day) newDuty() *rollout.Duty {
+	duty := rollout.New(rollout.Config{
+		Log: slog.New(slog.DiscardHandler), Store: d.store, Token: func() int64 { return d.token }, Civil: d.clock.Now,
+		Policy: rollout.DefaultPolicy(), Evidence: d.gate.Counters,
+		Status: func(o rollout.Order, outcome rollout.Outcome) (string, []byte, error) {
+			return "status/" + o.Service, []byte(outcome), nil
+		},
+	})
+	duty.SetOrder(d.order)
+	return duty
+}
+
+func (d *day) status() string { return string(d.store.items["status/s"].Value) }
+
+func (d *day) share() float64 {
+	for _, s := range d.duty.States() {
+		return s.Share
+	}
+	return 0
+}
+
+// step lets 150 ms pass with a rate of requests.
+func (d *day) step(t *testing.T, perSecond float64) {
+	for range int(perSecond * 0.15) {
+		d.requests++
+		accept := d.gate.Accept("s", fmt.Sprint(d.requests))
+		version, failed, latency := "v1", d.random.Float64() < 0.004, 60*time.Millisecond
+		if accept("v2") {
+			d.exposed++
+			version = "v2"
+			failed = d.random.Float64() < d.failing(d.clock.Since(d.began), d.share())
+			latency = time.Duration(float64(latency) * d.slow)
+			if failed || d.slow > 1 {
+				d.badSeen++
+			}
+			if d.badSeen > 50 {
+				d.after50++
+			}
+		}
+		d.gate.Observe("s", "r", version, failed, time.Duration(float64(latency)*(0.5+d.random.Float64())))
+	}
+	d.clock.Advance(150 * time.Millisecond)
+	_ = d.duty.Step(t.Context()) // errors are what a test provokes
+	for _, s := range d.duty.States() {
+		d.gate.SetState(s)
+	}
+}
+
+// Guards against a good version that isn't in use by its deadline, or requests
+// in flight on the old one when it is reported complete.
+func TestGoodVersionIsCompleteInTime(t *testing.T) {
+	for seed := range uint64(30) {
+		g := NewWithT(t)
+		d := newDay(seed)
+		full := time.Duration(0)
+		for range 99 {
+			d.step(t, 150)
+			if d.share() == 1 && full == 0 {
+				full = d.clock.Since(d.began)
+			}
+			if d.status() == "complete" {
+				break
+			}
+		}
+		g.Expect(d.status()).To(Equal("complete"))
+		g.Expect(d.clock.Since(d.began)).To(BeNumerically("<", 15*time.Second))
+		g.Expect(d.clock.Since(d.began) - full).To(BeNumerically(">", 3*time.Second))
+	}
+}
+
+// Patterns of bad versions: at once, later, only under load, slow. Guards
+// against more requests for them than a tenth and 50.
+func TestBadVersionsAreTakenBack(t *testing.T) {
+	for name, prepare := range map[string]func(*day){
+		"fails at once": func(d *day) { d.failing = func(time.Duration, float64) float64 { return 0.3 } },
+		"fails later": func(d *day) {
+			d.failing = func(since time.Duration, _ float64) float64 {
+				if since > 6*time.Second {
+					return 0.3
+				}
+				return 0
+			}
+		},
+		"fails under load": func(d *day) {
+			d.failing = func(_ time.Duration, share float64) float64 {
+				if share > 0.5 {
+					return 0.3
+				}
+				return 0
+			}
+		},
+		"slow": func(d *day) { d.slow = 4 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				g := NewWithT(t)
+				d := newDay(seed)
+				prepare(d)
+				for range 105 {
+					d.step(t, 150)
+				}
+				g.Expect(d.status()).To(Equal("reverted"))
+				g.Expect(float64(d.exposed)).To(BeNumerically("<=", 0.1*float64(d.requests)+50))
+			}
+		})
+	}
+}
+
+// Guards against a verdict that a change of the coordinator takes back, and
+// against a roll-out that begins again with it.
+func TestVerdictOutlivesTheCoordinator(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(1)
+	d.failing = func(time.Duration, float64) float64 { return 0.5 }
+	for range 40 {
+		d.step(t, 200)
+	}
+	g.Expect(d.status()).To(Equal("reverted"))
+	exposed := d.exposed
+	d.token = 2
+	d.duty = d.newDuty()
+	for range 80 {
+		d.step(t, 200)
+	}
+	g.Expect(d.status()).To(Equal("reverted"))
+	g.Expect(d.exposed).To(Equal(exposed))
+}
+
+// Guards against a lost answer of the store losing the roll-out.
+func TestLostAnswerOfTheRecord(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(2)
+	d.store.lose = true
+	for range 98 {
+		d.step(t, 150)
+	}
+	g.Expect(d.status()).To(Equal("complete"))
+}
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -10,9 +10,9 @@
 
 // Policy holds the parameters of Plan.
 type Policy struct {
-	// Utilization is the share of an instance's time that is planned for
+	// Utilisation is the share of an instance's time that is planned for
 	// reading prompts. The rest keeps a long prompt from delaying the others.
-	Utilization float64
+	Utilisation float64
 	// FloorShare is the part of the need that instances carry which aren't
 	// reclaimable.
 	FloorShare float64
@@ -26,7 +26,7 @@
 // DefaultPolicy suits engines whose long prompts take as long as the latency
 // objective of the short questions beside them.
 func DefaultPolicy() Policy {
-	return Policy{Utilization: 0.32, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3}
+	return Policy{Utilisation: 0.32, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3}
 }
 
 // Place is a kind of instance in a data centre.
@@ -50,7 +50,7 @@
 
 // Need returns the number of instances for a load in instance seconds a second.
 func (p Policy) Need(busy float64) int {
-	return max(int(math.Ceil(busy/p.Utilization)), p.MinNeed)
+	return max(int(math.Ceil(busy/p.Utilisation)), p.MinNeed)
 }
 
 // Plan returns the number of instances for each place. Reclaimable instances
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -98,7 +98,7 @@
 	l.number("store", "reads_per_second", &e.ReadsPerSecond, "1/s", 1500, 1, 1e6, "Largest rate of reads of all daemons together.")
 	l.address("cloud", "address", &e.CloudAddress, "", "Address of the cloud API; empty turns duties off.")
 	l.number("cloud", "calls_per_second", &e.CloudCalls, "1/s", 10, 0.1, 1e6, "Largest rate of duty calls of all daemons together.")
-	l.text("cloud", "duties", &e.Duties, "", "Single-writer duties, separated by commas: metering, autoscaler.")
+	l.text("cloud", "duties", &e.Duties, "metering,autoscaler", "Single-writer duties, separated by commas: metering, autoscaler.")
 }
 
 func (l *keyList) edgeBounds(b *Bounds) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,3 +53,39 @@
 		g.Expect(string(page)).To(ContainSubstring(k.Row()))
 	}
 }
+
+// The same holds for the edge daemon's keys, and its template must use no others.
+func TestEdgeReferenceIsDocumented(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/configuration.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, k := range EdgeReference() {
+		g.Expect(string(page)).To(ContainSubstring(k.Row()))
+	}
+}
+
+func TestEdgeTemplateNamesKnownKeys(t *testing.T) {
+	g := NewWithT(t)
+	template, err := os.ReadFile("../../deploy/rudderd.ini.tmpl")
+	g.Expect(err).NotTo(HaveOccurred())
+	known := map[string]bool{}
+	for _, k := range EdgeReference() {
+		known[k.Section+"."+k.Name] = true
+	}
+	section := ""
+	for line := range strings.SplitSeq(string(template), "\n") {
+		if i := strings.LastIndex(line, "}}"); strings.HasPrefix(line, "{{") && strings.Contains(line, "=") {
+			line = line[strings.LastIndex(line[:strings.Index(line, "=")], "}}")+2:]
+		} else if i >= 0 && !strings.Contains(line, "=") {
+			continue
+		}
+		if strings.HasPrefix(line, "[") {
+			section = strings.Trim(line, "[]")
+			continue
+		}
+		name, _, ok := strings.Cut(line, " = ")
+		if ok {
+			g.Expect(known).To(HaveKey(section + "." + name))
+		}
+	}
+}
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -80,8 +80,8 @@
 
 // served returns the share of whole answers among requests sent in a span, of
 // accounts that keep their key.
-func served(outcomes []outcome, from, to time.Time) (share float64, total int) {
-	good := 0
+func served(outcomes []outcome, from, to time.Time) float64 {
+	good, total := 0, 0
 	for _, o := range outcomes {
 		if o.account == "core" || o.sent.Before(from) || o.sent.After(to) {
 			continue
@@ -92,7 +92,7 @@
 		}
 	}
 	if total == 0 {
-		return 0, 0
+		return 0
 	}
-	return float64(good) / float64(total), total
+	return float64(good) / float64(total)
 }
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -41,7 +41,6 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
-	down    bool // is not restarted
 }
 
 // cluster is a platform with daemons and workers.
@@ -75,7 +74,7 @@
 	}
 	c.putConfig()
 	for i, service := range []string{"orders", "orders", "lookups", "lookups", "reports", "reports", "queries", "queries", "queries"} {
-		if _, err := c.startWorker(service, i); err != nil {
+		if err := c.startWorker(service, i); err != nil {
 			return nil, err
 		}
 	}
@@ -139,7 +138,7 @@
 }
 
 // startWorker starts a worker and announces it.
-func (c *cluster) startWorker(service string, i int) (*worker.Worker, error) {
+func (c *cluster) startWorker(service string, i int) error {
 	events := 0
 	if service == "reports" || service == "queries" {
 		events = streamEvents
@@ -147,12 +146,12 @@
 	id := fmt.Sprintf("w-%s-%d", service, i)
 	w, err := worker.Start(id, service, fmt.Sprintf("%s.%d:0", c.base, 100+i%90), events)
 	if err != nil {
-		return nil, errors.Wrap(err, "start worker")
+		return errors.Wrap(err, "start worker")
 	}
 	w.Set(sound)
 	c.workers = append(c.workers, w)
 	c.store.Put("servers/"+id, w.Entry(zones[i%len(zones)], "ready"))
-	return w, nil
+	return nil
 }
 
 // sound is a worker's behaviour without faults.
@@ -216,15 +215,13 @@
 }
 
 // waitEnd waits until the process has ended.
-func (d *daemon) waitEnd(limit time.Duration) bool {
+func (d *daemon) waitEnd(limit time.Duration) {
 	d.mu.Lock()
 	ended := d.ended
 	d.mu.Unlock()
 	select {
 	case <-ended:
-		return true
 	case <-time.After(limit):
-		return false
 	}
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -113,7 +113,7 @@
 	if _, gone := p.notes.leaving[w.ID]; gone {
 		return
 	}
-	if _, err := p.cluster.startWorker(w.Service, 20+len(p.cluster.workers)); err != nil {
+	if err := p.cluster.startWorker(w.Service, 20+len(p.cluster.workers)); err != nil {
 		p.notes.lines = append(p.notes.lines, "no successor: "+err.Error())
 		return
 	}
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // proxy forwards connections to a target and disturbs them from outside.
@@ -79,7 +81,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				reset(to)
 			}
 			return
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -72,8 +72,8 @@
 	cancel()
 	outcomes := callers.finish()
 	r := result{broken: check(outcomes, c.workers, p.notes, c.cloud.Problems()), notes: p.notes.lines, requests: len(outcomes)}
-	r.share, _ = served(outcomes, began, ended)
-	r.after, _ = served(outcomes, calm, time.Now())
+	r.share = served(outcomes, began, ended)
+	r.after = served(outcomes, calm, time.Now())
 	if p.notes.planned && r.share < servedShare {
 		r.broken = append(r.broken, fmt.Sprintf("planned work alone: %.3f of the requests answered", r.share))
 	}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// ciSeeds are played in CI: two of mixed faults and one of planned work alone.
+var ciSeeds = []struct {
+	seed    uint64
+	planned bool
+}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}}
+
+// Guards against broken promises under faults from outside real processes.
+func TestSeededSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rudderd")
+	build := exec.Command("go", "build", "-o", binary, "github.com/dogwoodrudder/dogwoodrudder/cmd/rudderd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, c := range ciSeeds {
+		o := options{Binary: binary, Length: 12 * time.Second, Daemons: 4, Clients: 12, Planned: c.planned}
+		r, err := run(o, c.seed, t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d requests, %.3f whole, %.3f after the faults", c.seed, r.requests, r.share, r.after)
+		if len(r.broken) > 0 {
+			t.Errorf("seed %d:\n%s\n%s", c.seed, strings.Join(r.notes, "\n"), strings.Join(r.broken, "\n"))
+		}
+	}
+}
