--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -320,3 +320,18 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(counts["acme"]).To(Equal(int64(1)))
 }
+
+// Guards against an account that is refused although it was silent for long:
+// its first requests on tsd-ub-grown met a bucket that was half full.
+func TestFirstBurstOfAnAccountIsServed(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(7)
+	f.appoint(0, 1)
+	for range 80 {
+		f.tick(t)
+	}
+	for i := range 8 {
+		granted, _ := f.agents[i%7].Take(t.Context(), account, 12_000)
+		g.Expect(granted).To(BeTrue())
+	}
+}
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -48,7 +48,8 @@
 	config CoordinatorConfig
 
 	mu      sync.Mutex
-	token   int64 // for which the state below was gathered
+	token   int64         // for which the state below was gathered
+	since   time.Duration // when the duty was taken
 	buckets map[string]*bucket
 	reports map[string]*daemonReport
 	// restored tells that the usage counts of the holder before were read.
@@ -87,6 +88,7 @@
 	}
 	if token != c.token {
 		c.token = token
+		c.since = c.config.Now()
 		c.buckets = map[string]*bucket{}
 		c.reports = map[string]*daemonReport{}
 		c.restored = false
@@ -180,7 +182,8 @@
 	now := c.config.Now()
 	b := c.buckets[name]
 	if b == nil {
-		b = &bucket{level: account.Burst * startLevel, filled: now}
+		// Nobody else has granted anything since the duty was taken.
+		b = &bucket{level: account.Burst * startLevel, filled: c.since}
 		c.buckets[name] = b
 	}
 	b.level = min(b.level+account.Rate*c.refillShare()*(now-b.filled).Seconds(), account.Burst)
