--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -1,7 +1,7 @@
 // Package coordination divides what holds for all daemons together: account
 // quotas, usage counts and the load of instances. Each daemon's Agent reports
-// to the Coordinator of the daemon that holds the duty, and works on with safe
-// shares while there is none.
+// to the Coordinator of the current holder, and works on with safe shares while
+// there is none.
 package coordination
 
 import (
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,7 +13,7 @@
 
 // syncWriteBytes is the largest request that is written before its response is
 // read: it fits into the socket buffers. A longer one is written beside the
-// reading, because an upstream may answer before it has read the body.
+// reading, because an early answer can come while the body is still on its way.
 const syncWriteBytes = 4 << 10
 
 // maxStrayReplies bounds the late replies of earlier requests that are skipped.
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -1,5 +1,5 @@
-// Package metering reports the usage of each window once, as the duty of one
-// daemon at a time. The counts are written to the store before they are
+// Package metering reports the usage of each window once. Only the lease holder
+// reports. The counts are written to the store before they are
 // reported, so that a successor repeats a report exactly.
 package metering
 
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -30,7 +30,7 @@
 	gone bool
 }
 
-// notRun is a refusal that promises that the request has not run.
+// notRun is a refusal of a request that no instance has executed or will execute.
 func notRun(code result.Code, detail string, retry time.Duration) *failure {
 	return &failure{code: code, status: http.StatusServiceUnavailable, detail: detail, retry: retry}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,7 +124,7 @@
 	account  *traffic.Account
 	cost     float64
 	received time.Time
-	// deadline ends all attempts: the client's deadline or the route's timeout.
+	// deadline ends all attempts; it is the earlier of client deadline and route time-out.
 	deadline time.Time
 	byRoute  bool // the route's timeout comes before the client's deadline
 
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -20,7 +20,7 @@
 	// Affinity names the longest part of the prompt that other requests share.
 	Affinity     string
 	SharedTokens int // prompt tokens up to and including that part
-	// ExpectedOutput is the client's estimate of generated tokens; 0 if none.
+	// ExpectedOutput estimates the generated tokens; 0 if the client doesn't say.
 	ExpectedOutput int
 	LastEvent      string
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// Guards against a good version that isn't in use by its deadline, or requests
+// Guards against a good version that misses its deadline, or requests
 // in flight on the old one when it is reported complete.
 func TestGoodVersionIsCompleteInTime(t *testing.T) {
 	for seed := range uint64(30) {
--- a/internal/scaling/demand.go
+++ b/internal/scaling/demand.go
@@ -1,5 +1,5 @@
 // Package scaling decides how many instances of which kind each service needs
-// in each data centre, and orders them as the duty of one daemon at a time.
+// in each data centre. The lease holder orders them.
 package scaling
 
 import (
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -17,7 +17,7 @@
 const (
 	// NonIdempotent requests run at most once.
 	NonIdempotent Semantics = iota
-	// Idempotent requests may run more than once.
+	// Idempotent requests are safe to repeat.
 	Idempotent
 	// Streaming requests run at most once unless the route is resumable.
 	Streaming
@@ -45,7 +45,7 @@
 type Route struct {
 	Name       string
 	Host       string
-	PathPrefix string // begins and ends with a slash
+	PathPrefix string // with a slash at both ends
 	Semantics  Semantics
 	Shares     []Share       // at least one
 	Timeout    time.Duration // longest time without a final answer; 0 means none
@@ -125,7 +125,7 @@
 	Burst       float64
 }
 
-// Limits bound what a client may send.
+// Limits are the largest sizes and times of a client's request.
 type Limits struct {
 	MaxHeaderBytes, MaxBodyBytes int
 	HeaderTimeout, IdleTimeout   time.Duration
--- a/test/standin/platform/store.go
+++ b/test/standin/platform/store.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// SetFaults replaces the faults. While the store is down, leases run on.
+// SetFaults replaces the faults. Leases run on during an outage.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -21,7 +21,7 @@
 	Fail       bool          // runs and answers 500
 	LoseAnswer bool          // runs and closes the connection
 	CutAfter   int           // closes a stream after so many events; 0 means never
-	CutInEvent bool          // ends a cut stream in the middle of an event
+	CutInEvent bool          // leaves the last event of a cut stream incomplete
 	Delay      time.Duration // before the answer begins
 	EventGap   time.Duration // between events
 }
