Don't follow a coordinator that the store has turned away

Change: a coordinator relays only while its latest calls were answered and its own proof is younger than 1 s; a report without a relay makes the daemon ask the store at once.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -16,6 +16,11 @@
 	index int64
 }
 
+// relayContact is the age of the coordinator's own proof up to which it relays.
+// Its polls wait 0.5 s, so that a store that has turned it away shows in time for
+// the others to see a leaving instance themselves.
+const relayContact = time.Second
+
 // cursor returns how far the daemon follows the coordinator's mirror.
 func (d *Daemon) cursor() *coordinatorv1.MirrorCursor {
 	d.followMu.Lock()
@@ -30,12 +35,14 @@
 	if r.Fleet == nil || r.Daemon == reportName(d.members.self) {
 		return
 	}
-	if age, known := d.state.operator.Age(); known {
-		response.ConfigRevision, response.ConfigAgeNanos = d.state.operator.LastChange(), int64(age)
+	contact, known := d.state.operator.Age()
+	if !known || contact > relayContact || d.state.operator.Failing() || d.state.fleet.Failing() {
+		return // this daemon lacks contact itself: the others must ask the store
 	}
+	response.ConfigRevision, response.ConfigAgeNanos = d.state.operator.LastChange(), int64(contact)
 	age, known := d.state.fleet.Age()
-	if !known || age > fleetWait+time.Second {
-		return // this daemon lacks contact itself
+	if !known {
+		return
 	}
 	epoch := reportName(d.members.self)
 	from := mirror.Cursor{Revision: r.Fleet.Revision}
@@ -72,6 +79,8 @@
 	}
 	delta := response.Fleet
 	if delta == nil {
+		d.state.fleet.StopRelay()
+		d.state.operator.StopRelay()
 		return
 	}
 	decoded := mirror.Delta{
--- /dev/null
+++ b/internal/edge/follow_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
+	"github.com/dogwoodrudder/dogwoodrudder/platform"
+)
+
+// newTestDaemon returns a daemon that doesn't run.
+func newTestDaemon(name string) *Daemon {
+	s := &settings.Edge{
+		Name: name, DataCentre: "a", CallersAddress: "127.0.0.1:1", CoordinatorAddress: "127.0.0.1:2", CPUShare: 1,
+		Bounds: settings.Bounds{KeyRevocation: 5 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, RetryWindow: 10 * time.Second},
+	}
+	return New(s, Platform{
+		Store: platform.NewStore("127.0.0.1:3"), Cloud: platform.NewCloud("127.0.0.1:4", name), Reader: platform.Reader{},
+		Wire: platform.Headers{}, Ready: platform.ReadyHandler,
+		Directory: func(f func(string, int) []string, ttl time.Duration) http.Handler {
+			return platform.DirectoryHandler(f, ttl)
+		},
+	}, slog.New(slog.DiscardHandler))
+}
+
+// Guards against daemons that rely on a coordinator which the store has turned
+// away: they sent work to an instance 3.1 s after it had announced to leave
+// (scale-2 of rcb-compra-grown).
+func TestCoordinatorWithoutContactIsNotFollowed(t *testing.T) {
+	g := NewWithT(t)
+	leader, follower := newTestDaemon("leader"), newTestDaemon("follower")
+	report := func() {
+		sent := bootclock.Now()
+		response := &coordinatorv1.ReportResponse{}
+		leader.completeReport(&coordinatorv1.ReportRequest{Daemon: "follower/1", Fleet: follower.cursor()}, response)
+		follower.follow(response, sent)
+	}
+	leader.state.fleet.Follow(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 9}}, bootclock.Now(), bootclock.Now())
+	leader.state.operator.ProveRelayed(bootclock.Now(), bootclock.Now())
+	report()
+	g.Expect(follower.state.fleet.Relayed()).To(BeTrue())
+	time.Sleep(relayContact + 50*time.Millisecond)
+	report()
+	g.Expect(follower.state.fleet.Relayed()).To(BeFalse(), "the follower asks the store at once")
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -89,6 +89,8 @@
 	// outageFrom is Now() of the first failed call of the latest outage.
 	outageFrom atomic.Int64
 	synced     atomic.Bool
+	// failing tells that the latest call got no answer.
+	failing atomic.Bool
 	// relayed is Now() of the latest proof that came through another daemon.
 	relayed atomic.Int64
 	// interrupts ends the poll that waits.
@@ -176,6 +178,7 @@
 				m.outageFrom.Store(int64(m.config.Now()))
 			}
 			m.outage.Store(int64(m.config.Now()))
+			m.failing.Store(true)
 			if m.config.OnOutage != nil {
 				m.config.OnOutage()
 			}
@@ -295,8 +298,12 @@
 		m.config.Log.Info("dependency regained", "dependency", "store", "revision", m.Revision())
 	}
 	m.proof.Store(int64(sent))
+	m.failing.Store(false)
 }
 
+// Failing reports whether the latest call to the store got no answer.
+func (m *Mirror) Failing() bool { return m.failing.Load() }
+
 func (m *Mirror) put(changes []Change, kv store.KeyValue) []Change {
 	delete(m.removals, kv.Key)
 	if old, ok := m.items[kv.Key]; ok && old.ModRevision >= kv.ModRevision {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// Relayed reports whether the mirror relies on another daemon at present.
+func (m *Mirror) Relayed() bool { return m.isRelayed() }
+
 // isRelayed reports whether proofs come through another daemon.
 func (m *Mirror) isRelayed() bool {
 	relayed := time.Duration(m.relayed.Load())
