Take only what a stopping daemon can finish

Ruled out: refusing everything earlier (orders and questions of 1.5 to 3 s can be finished, and callers still hold the address). Change: after a third of the grace only requests whose deadline is before its end are accepted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,7 +109,7 @@
 	load atomic.Uint64 // bits of the requests a second of all daemons; 0 if unknown
 
 	draining atomic.Bool
-	refusing atomic.Bool
+	stopping atomic.Pointer[stopTimes] // nil while the daemon doesn't stop
 }
 
 // New returns a daemon that does nothing until Run.
@@ -210,7 +210,7 @@
 		Demand:     d.estimator,
 		DataCentre: s.DataCentre, Daemons: d.members.count, KeyFreshness: s.Bounds.KeyRevocation - keyMargin,
 		Received: func() { d.rate.count.Add(1) },
-		Draining: d.draining.Load, Refusing: d.refusing.Load,
+		Draining: d.draining.Load, Refusing: func(deadline time.Time) bool { return d.stopping.Load().refuses(time.Now(), deadline) },
 	})
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -22,9 +22,12 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 20 * time.Second
 	maxHeaderBytes = 32 << 10
-	// acceptShare is the part of the grace in which new requests are accepted
-	// after SIGTERM; callers keep addresses for some seconds.
-	acceptShare = 0.5
+	// acceptShare is the part of the grace in which every new request is accepted
+	// after SIGTERM: callers keep addresses for some seconds. Later ones are
+	// accepted if they end before the grace does.
+	acceptShare = 0.32
+	// listenShare is the part of the grace in which any request is accepted.
+	listenShare = 0.6
 	// endMargin is left of the grace for the end of the process.
 	endMargin = 400 * time.Millisecond
 	drainPoll = 20 * time.Millisecond
@@ -91,16 +94,31 @@
 	_, _ = w.Write(buffer.Bytes()) // a reader that left needs no answer
 }
 
+// stopTimes bound which requests a stopping daemon accepts.
+type stopTimes struct {
+	acceptAll time.Time // until when every request is accepted
+	end       time.Time // requests that end before are accepted; zero refuses all
+}
+
+// refuses reports whether a request that may last until deadline can't be
+// finished by a daemon that stops.
+func (t *stopTimes) refuses(now, deadline time.Time) bool {
+	return t != nil && now.After(t.acceptAll) && deadline.After(t.end)
+}
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
 // stop withdraws the daemon from the callers' addresses, finishes requests and
 // ends before the grace does.
 func (d *Daemon) stop(ctx context.Context, s *servers) {
 	began := time.Now()
 	grace := d.settings.Bounds.Grace - endMargin
+	d.stopping.Store(&stopTimes{acceptAll: began.Add(share(grace, acceptShare)), end: began.Add(grace)})
 	d.draining.Store(true)
 	d.log.Info("daemon draining", "grace", grace)
 	d.members.withdraw(ctx)
-	sleep(ctx, time.Duration(float64(grace)*acceptShare))
-	d.refusing.Store(true)
+	sleep(ctx, share(grace, listenShare))
+	d.stopping.Store(&stopTimes{})
 	ctx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
 	defer cancel()
 	// The listener stays open until the requests in flight are finished, so
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,8 +80,9 @@
 	Received func()
 	// Draining reports whether answers end their connections.
 	Draining func() bool
-	// Refusing reports whether new requests are refused because the process stops.
-	Refusing func() bool
+	// Refusing reports whether a new request that may last until deadline is
+	// refused because the process stops.
+	Refusing func(deadline time.Time) bool
 }
 
 const (
@@ -160,9 +161,6 @@
 // admit finds route and account, reads the body and takes the quota.
 func (q *request) admit() *failure {
 	options := &q.relay.options
-	if options.Refusing() {
-		return notRun(result.Draining, "the daemon stops", 0)
-	}
 	q.table = options.Configuration.Table()
 	if q.table == nil {
 		return notRun(result.StoreUnavailable, "no configuration yet", startRetry)
@@ -177,6 +175,9 @@
 		return failure
 	}
 	q.setDeadline()
+	if options.Refusing(q.deadline) {
+		return notRun(result.Draining, "the daemon stops", 0)
+	}
 	return q.takeQuota()
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -30,16 +30,18 @@
 
 // site is a relay with workers and everything else under the test's control.
 type site struct {
-	t       *testing.T
-	url     string
-	set     *fleet.Set
-	table   atomic.Pointer[traffic.Table]
-	age     atomic.Int64 // of the configuration
-	budget  atomic.Int64 // second attempts left
-	quota   atomic.Bool  // refuses
-	mu      sync.Mutex
-	began   map[string]int
-	workers map[string]*worker.Worker
+	t      *testing.T
+	url    string
+	set    *fleet.Set
+	table  atomic.Pointer[traffic.Table]
+	age    atomic.Int64 // of the configuration
+	budget atomic.Int64 // second attempts left
+	quota  atomic.Bool  // refuses
+	// stopping refuses requests that may last longer than a second.
+	stopping atomic.Bool
+	mu       sync.Mutex
+	began    map[string]int
+	workers  map[string]*worker.Worker
 }
 
 func (s *site) Table() *traffic.Table                           { return s.table.Load() }
@@ -98,7 +100,7 @@
 		Quota: quota{s}, Meter: s, Budget: s, Versions: s, Demand: s, KeyFreshness: 4500 * time.Millisecond,
 		Daemons:  func() int { return 1 },
 		Received: func() {},
-		Draining: func() bool { return false }, Refusing: func() bool { return false },
+		Draining: func() bool { return false }, Refusing: func(deadline time.Time) bool { return s.stopping.Load() && time.Until(deadline) > time.Second },
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -406,3 +408,15 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Guards against a stop that cuts a long stream which was taken late, and
+// against short requests being refused though they can be finished.
+func TestStoppingDaemonTakesWhatItCanFinish(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("w1", "order", worker.Behaviour{})
+	s.stopping.Store(true)
+	g.Expect(s.send(t.Context(), "/order/1", nil).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(s.send(t.Context(), "/order/1", map[string]string{"X-Deadline-Ms": "800"}).status).To(Equal(200))
+	g.Expect(s.runs()).To(Equal(1))
+}
