Share the loop of duties, one store fake, and drop unused state

Found by reading the whole change: the ticker loop stood five times and the interruptible sleep twice (duty.Every, duty.Sleep now); three unit tests had each a store in memory (internal/store/storetest); the coordinator returned loads and refusals that nobody read; engine limits and the length hint were decoded and not used; Relayed wrapped its twin; an empty type held two metric functions. Behaviour and assertions are as they were.

--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,52 +17,16 @@
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
-	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store/storetest"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 )
 
-// memory is a store of single keys.
-type memory struct {
-	store.Store
-	mu       sync.Mutex
-	down     bool
-	revision int64
-	items    map[string]store.KeyValue
-}
-
-func (m *memory) Get(_ context.Context, key string) (store.KeyValue, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return store.KeyValue{}, store.ErrUnavailable
-	}
-	return m.items[key], nil
-}
-
-func (m *memory) Txn(_ context.Context, conditions []store.Condition, ops []store.Op) (store.TxnResult, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return store.TxnResult{}, store.ErrUnavailable
-	}
-	for _, c := range conditions {
-		if m.items[c.Key].ModRevision != c.ModRevision {
-			return store.TxnResult{}, nil
-		}
-	}
-	m.revision++
-	for _, op := range ops {
-		m.items[op.Key] = store.KeyValue{Key: op.Key, Value: op.Value, ModRevision: m.revision}
-	}
-	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
-}
-
 // fleetOf is some daemons on a fake clock, one of which coordinates.
 type fleetOf struct {
 	clock        *clockwork.FakeClock
 	began        time.Time
 	table        *traffic.Table
-	store        *memory
+	store        *storetest.Memory
 	coordinators []*coordination.Coordinator
 	keepers      []*coordination.CountsKeeper
 	tokens       []int64
@@ -107,7 +70,7 @@
 func newFleet(n int) *fleetOf {
 	clock := clockwork.NewFakeClock()
 	f := &fleetOf{
-		clock: clock, began: clock.Now(), store: &memory{items: map[string]store.KeyValue{}}, tokens: make([]int64, n),
+		clock: clock, began: clock.Now(), store: storetest.NewMemory(), tokens: make([]int64, n),
 		table: traffic.NewTable(1, nil, nil, []*traffic.Account{account}, nil, traffic.Limits{}),
 	}
 	log := slog.New(slog.DiscardHandler)
@@ -158,7 +121,7 @@
 	f.clock.Advance(125 * time.Millisecond)
 	for i, agent := range f.agents {
 		agent.Report(t.Context())
-		if err := f.keepers[i].Step(t.Context()); err != nil && !f.store.down {
+		if err := f.keepers[i].Step(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -10,7 +10,6 @@
 	"google.golang.org/grpc/status"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
-	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 )
 
@@ -256,36 +255,21 @@
 	return total, true, complete
 }
 
-// Demand is what clients ask of a service, summed over all daemons.
-type Demand struct {
-	Busy    float64 // instance seconds a second
-	Refused float64 // requests a second
-}
-
-// Demands returns the demand by service, and the load by instance.
-func (c *Coordinator) Demands() (map[string]Demand, map[string]fleet.Load) {
+// Busy returns the instance seconds a second that clients ask of each service,
+// summed over all daemons.
+func (c *Coordinator) Busy() map[string]float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	demands := map[string]Demand{}
-	loads := map[string]fleet.Load{}
+	busy := map[string]float64{}
 	for _, report := range c.reports {
 		if c.config.Now()-report.at > silentAfter {
 			continue
 		}
 		for _, s := range report.services {
-			d := demands[s.Service]
-			d.Busy += s.Busy
-			d.Refused += s.RefusedPerSecond
-			demands[s.Service] = d
-		}
-		for _, l := range report.loads {
-			load := loads[l.Instance]
-			load.Inflight += int(l.Inflight)
-			load.Prefill += int(l.PrefillTokens)
-			loads[l.Instance] = load
+			busy[s.Service] += s.Busy
 		}
 	}
-	return demands, loads
+	return busy
 }
 
 // silent returns the daemons that stopped reporting shortly ago.
--- a/internal/coordination/counts.go
+++ b/internal/coordination/counts.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
@@ -101,18 +102,11 @@
 
 // Run writes until ctx ends.
 func (k *CountsKeeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(keepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			if err := k.Step(ctx); err != nil && ctx.Err() == nil {
-				k.Log.Warn("usage counts not kept", "error", err)
-			}
+	return duty.Every(ctx, keepInterval, func(ctx context.Context) {
+		if err := k.Step(ctx); err != nil && ctx.Err() == nil {
+			k.Log.Warn("usage counts not kept", "error", err)
 		}
-	}
+	})
 }
 
 // Step restores the counts after a change of the holder, and writes them if
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -193,7 +193,7 @@
 	})
 	d.scaler = scaling.New(scaling.Config{
 		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
-		Busy: d.fleetBusy, Now: bootclock.Now, Policy: scaling.DefaultPolicy(),
+		Busy: d.coordinator.Busy, Now: bootclock.Now, Policy: scaling.DefaultPolicy(),
 		Forbidden: d.rollouts.Open,
 	})
 }
@@ -223,16 +223,6 @@
 	return demand
 }
 
-// fleetBusy returns the demand of all daemons by service.
-func (d *Daemon) fleetBusy() map[string]float64 {
-	busy := map[string]float64{}
-	demands, _ := d.coordinator.Demands()
-	for service, demand := range demands {
-		busy[service] = demand.Busy
-	}
-	return busy
-}
-
 // reportName identifies one incarnation of a daemon in its reports.
 func reportName(m member) string { return m.Name + "/" + strconv.FormatInt(m.Incarnation, 10) }
 
@@ -338,7 +328,7 @@
 // announce lists the daemon once it can serve.
 func (d *Daemon) announce(ctx context.Context) error {
 	for !d.Ready() && ctx.Err() == nil {
-		sleep(ctx, announceCheck)
+		duty.Sleep(ctx, announceCheck)
 	}
 	return d.members.run(ctx)
 }
@@ -346,9 +336,5 @@
 const announceCheck = 50 * time.Millisecond
 
 func (d *Daemon) evaluateHealth(ctx context.Context) error {
-	for ctx.Err() == nil {
-		sleep(ctx, healthInterval)
-		d.instances.Evaluate()
-	}
-	return nil
+	return duty.Every(ctx, healthInterval, func(context.Context) { d.instances.Evaluate() })
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
@@ -135,7 +136,7 @@
 			m.log.Warn("daemon not announced", "error", err)
 			wait = memberRetry + rand.N(memberRetry)
 		}
-		sleep(ctx, wait)
+		duty.Sleep(ctx, wait)
 	}
 	return nil
 }
@@ -192,12 +193,3 @@
 		m.log.Warn("daemon not withdrawn", "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
 )
 
@@ -117,14 +118,14 @@
 	d.draining.Store(true)
 	d.log.Info("daemon draining", "grace", grace)
 	d.members.withdraw(ctx)
-	sleep(ctx, share(grace, listenShare))
+	duty.Sleep(ctx, share(grace, listenShare))
 	d.stopping.Store(&stopTimes{})
 	ctx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
 	defer cancel()
 	// The listener stays open until the requests in flight are finished, so
 	// that callers get a refusal instead of a reset connection.
 	for ctx.Err() == nil && d.relay.Active() > 0 {
-		sleep(ctx, drainPoll)
+		duty.Sleep(ctx, drainPoll)
 	}
 	if err := d.agent.Leave(ctx, d.platform.Store, countsKey); err != nil {
 		d.log.Warn("usage counts not handed over", "error", err)
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
@@ -67,18 +68,11 @@
 
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(step)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			if err := r.Step(ctx); err != nil && ctx.Err() == nil {
-				r.config.Log.Warn("usage not reported", "window", r.plan.Window, "token", r.token, "error", err)
-			}
+	return duty.Every(ctx, step, func(ctx context.Context) {
+		if err := r.Step(ctx); err != nil && ctx.Err() == nil {
+			r.config.Log.Warn("usage not reported", "window", r.plan.Window, "token", r.token, "error", err)
 		}
-	}
+	})
 }
 
 // Step makes the next call that is due, if any.
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -13,30 +13,9 @@
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/metering"
-	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store/storetest"
 )
 
-// plans is a store of one key.
-type plans struct {
-	store.Store
-	entry store.KeyValue
-	lose  bool // the next write takes effect without an answer
-}
-
-func (p *plans) Get(context.Context, string) (store.KeyValue, error) { return p.entry, nil }
-
-func (p *plans) Txn(_ context.Context, conditions []store.Condition, ops []store.Op) (store.TxnResult, error) {
-	if conditions[0].ModRevision != p.entry.ModRevision {
-		return store.TxnResult{Current: []store.KeyValue{p.entry}}, nil
-	}
-	p.entry = store.KeyValue{Key: ops[0].Key, Value: ops[0].Value, ModRevision: p.entry.ModRevision + 1}
-	if p.lose {
-		p.lose = false
-		return store.TxnResult{}, store.ErrOutcomeUnknown
-	}
-	return store.TxnResult{Succeeded: true, Revision: p.entry.ModRevision}, nil
-}
-
 // ledger is a cloud that notes reports and refuses a second one with other counts.
 type ledger struct {
 	reports map[int64]map[string]int64
@@ -60,7 +39,7 @@
 
 type bench struct {
 	clock    *clockwork.FakeClock
-	plans    *plans
+	plans    *storetest.Memory
 	ledger   *ledger
 	counts   map[string]int64
 	complete bool
@@ -69,7 +48,7 @@
 func newBench() *bench {
 	start := time.Unix(1_800_000_000, 0)
 	return &bench{
-		clock: clockwork.NewFakeClockAt(start), plans: &plans{}, ledger: &ledger{reports: map[int64]map[string]int64{}},
+		clock: clockwork.NewFakeClockAt(start), plans: storetest.NewMemory(), ledger: &ledger{reports: map[int64]map[string]int64{}},
 		counts: map[string]int64{"acme": 5}, complete: true,
 	}
 }
@@ -120,7 +99,7 @@
 	token := int64(1)
 	r := b.reporter(&token)
 	b.run(t, r, time.Second)
-	b.plans.lose = true
+	b.plans.LoseNext()
 	b.run(t, r, 5200*time.Millisecond)
 	b.counts = map[string]int64{"acme": 9}
 	b.run(t, r, 10*time.Second)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
@@ -154,8 +155,8 @@
 	retry := minRetry
 	listed := false
 	for ctx.Err() == nil {
-		if listed && m.isRelayed() {
-			sleep(ctx, relayCheck)
+		if listed && m.Relayed() {
+			duty.Sleep(ctx, relayCheck)
 			m.applyRemovals()
 			continue
 		}
@@ -187,21 +188,12 @@
 		} else {
 			retry = minRetry
 		}
-		sleep(ctx, pause)
+		duty.Sleep(ctx, pause)
 		m.applyRemovals()
 	}
 	return ctx.Err()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // list replaces the copy. Entries that are absent from the list are deleted.
 // Pages aren't a snapshot, so that the poll goes on from the revision of the
 // first page, and an entry is never replaced by an older one.
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -138,11 +138,8 @@
 	}
 }
 
-// Relayed reports whether the mirror relies on another daemon at present.
-func (m *Mirror) Relayed() bool { return m.isRelayed() }
-
-// isRelayed reports whether proofs come through another daemon.
-func (m *Mirror) isRelayed() bool {
+// Relayed reports whether proofs come through another daemon at present.
+func (m *Mirror) Relayed() bool {
 	relayed := time.Duration(m.relayed.Load())
 	return relayed != 0 && m.config.Now()-relayed < relayLimit
 }
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -59,7 +59,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.writer.WriteHeader(f.status)
 	if _, err := q.writer.Write([]byte(body)); err != nil {
-		q.relay.metrics.clientGone()
+		countClientGone()
 	}
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -13,13 +13,11 @@
 // statusClientGone stands for a request whose client left, in logs and metrics.
 const statusClientGone = 499
 
-type relayMetrics struct{}
-
-func (relayMetrics) clientGone() {
+func countClientGone() {
 	metrics.GetOrCreateCounter("rudder_relay_client_gone_total").Inc()
 }
 
-func (relayMetrics) firstEvent(latency time.Duration) {
+func observeFirstEvent(latency time.Duration) {
 	metrics.GetOrCreateHistogram("rudder_relay_first_event_seconds").Update(latency.Seconds())
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,7 +100,6 @@
 // Relay is the HTTP handler of the callers' address.
 type Relay struct {
 	options Options
-	metrics relayMetrics
 	active  atomic.Int64
 	// latencies tell how long answers usually take to begin.
 	latencies latencies
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -84,7 +84,7 @@
 	if lease.Load.Inflight == 0 && latency < maxIdleLatency {
 		q.relay.options.Demand.FirstEvent(q.service.Name, q.info.PromptTokens, q.info.SharedTokens, latency)
 	}
-	q.relay.metrics.firstEvent(q.relay.options.Clock.Since(q.received))
+	observeFirstEvent(q.relay.options.Clock.Since(q.received))
 }
 
 func (q *request) brokenStream(ctx context.Context, lease *fleet.Lease, stream *streamState, sent time.Time, err error) (attemptEnd, string) {
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -20,9 +20,7 @@
 	// Affinity names the longest part of the prompt that other requests share.
 	Affinity     string
 	SharedTokens int // prompt tokens up to and including that part
-	// ExpectedOutput estimates the generated tokens; 0 if the client doesn't say.
-	ExpectedOutput int
-	LastEvent      string
+	LastEvent    string
 }
 
 // Attempt is what the headers to an instance depend on.
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
@@ -112,18 +113,11 @@
 
 // Run decides until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(step)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			if err := d.Step(ctx); err != nil && ctx.Err() == nil {
-				d.config.Log.Warn("roll-out not decided", "error", err)
-			}
+	return duty.Every(ctx, step, func(ctx context.Context) {
+		if err := d.Step(ctx); err != nil && ctx.Err() == nil {
+			d.config.Log.Warn("roll-out not decided", "error", err)
 		}
-	}
+	})
 }
 
 // Step makes one round of decisions.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -1,7 +1,6 @@
 package rollout_test
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -12,40 +11,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
-	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store/storetest"
 )
 
-// memory is a store of single keys.
-type memory struct {
-	store.Store
-	revision int64
-	items    map[string]store.KeyValue
-	lose     bool // the next write takes effect without an answer
-}
-
-func (m *memory) Get(_ context.Context, key string) (store.KeyValue, error) { return m.items[key], nil }
-
-func (m *memory) Txn(_ context.Context, conditions []store.Condition, ops []store.Op) (store.TxnResult, error) {
-	for _, c := range conditions {
-		if m.items[c.Key].ModRevision != c.ModRevision {
-			return store.TxnResult{}, nil
-		}
-	}
-	m.revision++
-	for _, op := range ops {
-		m.items[op.Key] = store.KeyValue{Key: op.Key, Value: op.Value, ModRevision: m.revision}
-	}
-	if m.lose {
-		m.lose = false
-		return store.TxnResult{}, store.ErrOutcomeUnknown
-	}
-	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
-}
-
 // day is a service with two versions under load.
 type day struct {
 	clock *clockwork.FakeClock
-	store *memory
+	store *storetest.Memory
 	gate  *rollout.Gate
 	duty  *rollout.Duty
 	token int64
@@ -65,7 +37,7 @@
 
 func newDay(seed uint64) *day {
 	d := &day{
-		clock: clockwork.NewFakeClock(), store: &memory{items: map[string]store.KeyValue{}}, gate: rollout.NewGate(), token: 1,
+		clock: clockwork.NewFakeClock(), store: storetest.NewMemory(), gate: rollout.NewGate(), token: 1,
 		order:   rollout.Order{Service: "s", Target: "v2", Within: 15 * time.Second, Revision: 3},
 		failing: func(time.Duration, float64) float64 { return 0 }, slow: 1, random: rand.New(rand.NewPCG(seed, 9)),
 	}
@@ -87,7 +59,7 @@
 	return duty
 }
 
-func (d *day) status() string { return string(d.store.items["status/s"].Value) }
+func (d *day) status() string { return string(d.store.Value("status/s")) }
 
 func (d *day) share() float64 {
 	for _, s := range d.duty.States() {
@@ -207,7 +179,7 @@
 func TestLostAnswerOfTheRecord(t *testing.T) {
 	g := NewWithT(t)
 	d := newDay(2)
-	d.store.lose = true
+	d.store.LoseNext()
 	for range 98 {
 		d.step(t, 150)
 	}
--- a/internal/scaling/duty.go
+++ b/internal/scaling/duty.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 )
@@ -86,16 +87,7 @@
 
 // Run decides and orders until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(step)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			d.Step(ctx)
-		}
-	}
+	return duty.Every(ctx, step, d.Step)
 }
 
 // Step makes one round of decisions.
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -84,18 +84,6 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Engine describes the model engines of a service.
-type Engine struct {
-	Slots          int   // requests in one batch
-	CacheTokens    int   // memory for running requests and cached prompts, in tokens
-	TokensPerEvent int   // tokens in one event of a stream
-	BytesPerToken  int   // size of the KV cache of one token
-	CanMove        bool  // running requests can be copied to another engine
-	CanBackup      bool  // running requests can be copied while they run
-	EventWaiters   int   // long polls for cache events that an engine keeps
-	PinLimit       int64 // longest retention of a session's tokens, ms
-}
-
 // Scaling bounds the number of upstreams that may be ordered in a data centre.
 type Scaling struct {
 	Min, Max   int
@@ -109,7 +97,6 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int      // of one upstream, from all callers
-	Engine         *Engine  // nil for application services
 	Scaling        *Scaling // nil if the service isn't scaled
 }
 
