Report late order outcomes over a connection that is open

Cause: TestOrderHandOver/store_down answered "unknown" for orders that ran. The leaving daemon kept the client of the hand-over for its late outcomes, while a failed join or search attempt of the gossip closed the pool's connection to that address. All later reports failed with "connection is closing". Change: the executor keeps the successor's address and takes the connection from the pool for each report; a failed contact resets the reconnect backoff instead of closing a connection that others use.

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -117,12 +117,8 @@
 func (d *Daemon) handOverOrders(ctx context.Context) bool {
 	d.ledger.Freeze()
 	for _, m := range d.gossip.Overlay().PeersOutside(d.settings.Daemon.DataCentre, d.id, handOverCandidates) {
-		client, err := d.pool.Client(m.PeerAddress)
-		if err != nil {
-			continue
-		}
 		attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
-		err = d.executor.HandOver(attempt, m.DaemonID, client)
+		err := d.executor.HandOver(attempt, m.DaemonID, m.PeerAddress)
 		cancel()
 		if err == nil {
 			d.gossip.SetSelf(func(self *membership.Member) { self.Successor = m.DaemonID })
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -48,6 +48,7 @@
 type daemon struct {
 	*gossip.Gossip
 	address  string
+	pool     *peer.Pool
 	server   *grpc.Server
 	stop     func()
 	frozen   sync.RWMutex // held for writing while the daemon is frozen
@@ -101,6 +102,7 @@
 	}
 	d := &daemon{address: listener.Addr().String()}
 	pool := peer.NewPool(time.Minute, time.Now, grpc.WithUnaryInterceptor(d.outgoing(n)))
+	d.pool = pool
 	d.Gossip = gossip.New(gossip.Config{
 		Self: membership.Member{
 			DaemonID: uuid.NewString(), Name: name, PeerAddress: d.address,
@@ -191,3 +193,28 @@
 		t.Error("an item was reported more than once or to its origin")
 	}
 }
+
+// Guards against a join attempt without an answer that closes the connection
+// on which other parts of the daemon have calls.
+func TestFailedContactKeepsCallsOfOthers(t *testing.T) {
+	network := newNetwork()
+	silent := start(t, network, "silent", "dc0", "127.0.0.1:0")
+	silent.frozen.Lock()
+	d := start(t, network, "d", "dc1", "127.0.0.1:0", silent.address)
+	client, err := d.pool.Client(silent.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	answer := make(chan error, 1)
+	go func() {
+		_, err := client.Probe(ctx, &peerv1.ProbeRequest{})
+		answer <- err
+	}()
+	time.Sleep(2 * time.Second) // several attempts to join
+	silent.frozen.Unlock()
+	if err := <-answer; err != nil {
+		t.Errorf("the call of another user: %v", err)
+	}
+}
--- a/internal/gossip/join.go
+++ b/internal/gossip/join.go
@@ -100,7 +100,8 @@
 	if err == nil {
 		return true
 	}
-	g.config.Pool.Forget(address) // drops the reconnect backoff of the connection
+	// The pool's other users may have calls on the connection, so it stays open.
+	g.config.Pool.Redial(address)
 	g.config.Logger.Debug("peer did not answer", "address", address, "error", err)
 	return false
 }
--- a/internal/orders/transfer.go
+++ b/internal/orders/transfer.go
@@ -26,18 +26,24 @@
 	lateTimeout = 2 * time.Second
 )
 
-// lateSender knows where outcomes go that are settled after the freeze.
+// lateSender knows where outcomes go that are settled after the freeze. It
+// keeps the address instead of a client, because the pool may close a
+// connection between two outcomes.
 type lateSender struct {
-	mu     sync.Mutex
-	client peerv1.PeerClient
+	mu      sync.Mutex
+	address string // ip:port of the successor's Peer service; empty before the hand-over
 }
 
-// HandOver freezes the ledger and sends it to the daemon successorID. After an
-// error it can be called again; once the last part may have arrived, only with
-// the same successor, as the ledger's CommitTo refuses another one. The ledger
-// stays frozen in every case.
-func (e *Executor) HandOver(ctx context.Context, successorID string, successor peerv1.PeerClient) error {
+// HandOver freezes the ledger and sends it to the daemon successorID at
+// address (ip:port). After an error it can be called again; once the last part
+// may have arrived, only with the same successor, as the ledger's CommitTo
+// refuses another one. The ledger stays frozen in every case.
+func (e *Executor) HandOver(ctx context.Context, successorID, address string) error {
 	e.Ledger.Freeze()
+	successor, err := e.Peers.Client(address)
+	if err != nil {
+		return err
+	}
 	parts, err := e.Ledger.Export()
 	if err != nil {
 		return err
@@ -49,7 +55,7 @@
 		}
 	}
 	e.late.mu.Lock()
-	e.late.client = successor
+	e.late.address = address
 	e.late.mu.Unlock()
 	e.Log.Info("orders handed over", "successor", successorID, "parts", len(parts), "unsettled", e.Ledger.Unsettled())
 	return e.FlushLate(ctx)
@@ -59,11 +65,15 @@
 // successor. Ledger.Unsettled tells whether more are to come.
 func (e *Executor) FlushLate(ctx context.Context) error {
 	e.late.mu.Lock()
-	client := e.late.client
+	address := e.late.address
 	e.late.mu.Unlock()
-	if client == nil {
+	if address == "" {
 		return nil
 	}
+	client, err := e.Peers.Client(address)
+	if err != nil {
+		return err
+	}
 	parts := e.Ledger.TakeLate()
 	for i, part := range parts {
 		if err := sendPart(ctx, client, part, nil); err != nil {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// Redial makes the connection to address try again at once if it waits between
+// two attempts to connect. Calls on the connection go on.
+func (p *Pool) Redial(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		c.conn.ResetConnectBackoff()
+	}
+}
+
 // Forget closes the connection to address, for example after a peer died.
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
