Keep a complete roll-out complete under the next coordinator

The roll-out was complete before; the next coordinator read that verdict and told a share of 0, so every daemon sent the service's requests to the old version, whose instances are gone: 503 until the end. Until a coordinator was there, daemons that had started knew no verdict and refused the service as well. Ruled out: capacity (120 instances announced), quotas, the store. Change: the share follows from the recorded verdict, and daemons follow the record, so that a verdict is known without a coordinator.

--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -1,13 +1,19 @@
 package edge
 
 import (
+	"strings"
+
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
 )
 
-// applyOther takes over orders of roll-outs.
+// applyOther takes over orders of roll-outs and their verdicts.
 func (d *Daemon) applyOther(c mirror.Change) {
+	if strings.HasPrefix(c.Key, rollout.KeyPrefix) {
+		d.applyVerdict(c)
+		return
+	}
 	service, isRollout := d.platform.Reader.RolloutService(c.Key)
 	if !isRollout {
 		return
@@ -28,6 +34,22 @@
 	d.log.Info("roll-out ordered", "service", service, "target", order.Target, "within", order.Within, "revision", c.ModRevision)
 }
 
+// applyVerdict takes over the record of a roll-out that has ended. The shares
+// of an open one come from the coordinator.
+func (d *Daemon) applyVerdict(c mirror.Change) {
+	if c.Deleted {
+		return
+	}
+	state, ended, err := rollout.Verdict(c.Value)
+	if err != nil {
+		d.log.Warn("roll-out record ignored", "key", c.Key, "revision", c.ModRevision, "error", err)
+		return
+	}
+	if ended {
+		d.gate.SetState(state)
+	}
+}
+
 // evidence reports this daemon's counters to the coordinator.
 func (d *Daemon) evidence() []*coordinatorv1.VersionEvidence {
 	var evidence []*coordinatorv1.VersionEvidence
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -16,8 +16,9 @@
 const (
 	step        = 150 * time.Millisecond
 	callTimeout = 800 * time.Millisecond
-	// keyPrefix holds the record of each roll-out. Daemons don't follow it.
-	keyPrefix = "rollout/"
+	// KeyPrefix holds the record of each roll-out. Daemons follow it, so that
+	// one that starts while nobody coordinates knows the verdicts.
+	KeyPrefix = "serving/rollout/"
 )
 
 // Config holds the parameters of a Duty.
@@ -35,12 +36,32 @@
 
 // record is what the store keeps of a roll-out, for a successor.
 type record struct {
+	Service  string  `json:"service"`
 	Revision int64   `json:"revision"` // of the order
 	Target   string  `json:"target"`
 	Start    int64   `json:"start_ms"` // Unix time
 	Outcome  Outcome `json:"outcome"`
 }
 
+// share returns the part of the requests for the target under the holder that
+// reads the record. A holder gathers its own evidence for an open roll-out.
+func (r record) share() float64 {
+	if r.Outcome == Complete {
+		return 1
+	}
+	return 0
+}
+
+// Verdict decodes the record of a roll-out. It reports whether it has ended.
+func Verdict(value []byte) (State, bool, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return State{}, false, errors.Wrap(err, "decode roll-out")
+	}
+	order := Order{Service: r.Service, Target: r.Target, Revision: r.Revision}
+	return State{Order: order, Share: r.share(), Outcome: r.Outcome}, r.Outcome != Active, nil
+}
+
 // State is a roll-out as daemons are told it.
 type State struct {
 	Order   Order
@@ -180,7 +201,7 @@
 func (d *Duty) begin(ctx context.Context, order Order) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	kv, err := d.config.Store.Get(ctx, keyPrefix+order.Service)
+	kv, err := d.config.Store.Get(ctx, KeyPrefix+order.Service)
 	if err != nil {
 		return errors.WithMessage(err, "read roll-out")
 	}
@@ -189,9 +210,11 @@
 		if err := json.Unmarshal(kv.Value, &r.record); err != nil {
 			return errors.Wrap(err, "decode roll-out")
 		}
+		r.share = r.record.share()
 	}
 	if r.record.Revision != order.Revision {
-		r.record = record{Revision: order.Revision, Target: order.Target, Start: d.config.Civil().UnixMilli(), Outcome: Active}
+		r.share = 0
+		r.record = record{Service: order.Service, Revision: order.Revision, Target: order.Target, Start: d.config.Civil().UnixMilli(), Outcome: Active}
 		r.base = d.config.Evidence()
 		if err := d.write(ctx, order, r); err != nil {
 			return err
@@ -236,8 +259,8 @@
 		return err
 	}
 	result, err := d.config.Store.Txn(ctx,
-		[]store.Condition{{Key: keyPrefix + order.Service, ModRevision: r.key}},
-		[]store.Op{{Key: keyPrefix + order.Service, Value: value}, {Key: key, Value: status}})
+		[]store.Condition{{Key: KeyPrefix + order.Service, ModRevision: r.key}},
+		[]store.Op{{Key: KeyPrefix + order.Service, Value: value}, {Key: key, Value: status}})
 	if err == nil && !result.Succeeded {
 		err = errors.New("the record was written by another holder")
 	}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -34,12 +34,15 @@
 	delete(g.orders, service)
 }
 
-// SetState takes over what the coordinator tells. A verdict is never taken
-// back for the same order.
+// SetState takes over what the coordinator tells or its record says. A verdict
+// is never taken back for the same order, nor for an earlier one.
 func (g *Gate) SetState(s State) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	old, known := g.states[s.Order.Service]
+	if known && s.Order.Revision < old.Order.Revision {
+		return
+	}
 	if known && old.Order.Revision == s.Order.Revision && old.Outcome != Active && s.Outcome == Active {
 		return
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -175,6 +175,50 @@
 	g.Expect(d.exposed).To(Equal(exposed))
 }
 
+// Guards against a coordinator that takes the requests of a complete roll-out
+// away from the only version whose instances still run.
+func TestCompletionOutlivesTheCoordinator(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(1)
+	for range 98 {
+		d.step(t, 150)
+	}
+	g.Expect(d.status()).To(Equal("complete"))
+	d.token = 2
+	d.duty = d.newDuty()
+	d.gate = rollout.NewGate() // a daemon that starts with the coordinator
+	d.gate.SetOrder(d.order)
+	d.step(t, 0)
+	exposed, requests := d.exposed, d.requests
+	d.step(t, 200)
+	g.Expect(d.exposed - exposed).To(Equal(d.requests - requests))
+}
+
+// Guards against a daemon that starts while nobody coordinates, and sends the
+// requests of an ended roll-out to the wrong version.
+func TestVerdictIsKnownWithoutCoordinator(t *testing.T) {
+	for name, failing := range map[string]float64{"complete": 0, "reverted": 0.5} {
+		g := NewWithT(t)
+		d := newDay(1)
+		d.failing = func(time.Duration, float64) float64 { return failing }
+		for range 98 {
+			d.step(t, 150)
+		}
+		g.Expect(d.status()).To(Equal(name))
+		state, ended, err := rollout.Verdict(d.store.Value(rollout.KeyPrefix + "s"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(ended).To(BeTrue())
+		gate := rollout.NewGate()
+		gate.SetState(state)
+		gate.SetOrder(d.order)
+		accept := gate.Accept("s", "r")
+		g.Expect(accept("v2")).To(Equal(name == "complete"))
+		g.Expect(accept("v1")).To(Equal(name == "reverted"))
+	}
+	_, _, err := rollout.Verdict([]byte("{"))
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
+
 // Guards against a lost answer of the store losing the roll-out.
 func TestLostAnswerOfTheRecord(t *testing.T) {
 	g := NewWithT(t)
