Don't doubt a deputy because a client left

Change: a call that its caller ended is no evidence. Before: TestClientThatLeavesDoesNotDiscreditTheDeputy fails; after: it passes.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -178,12 +178,21 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if _, err := client.BorrowPooled(ctx, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon}); err != nil {
-		a.config.Link.Doubt(address)
-		a.config.Log.Debug("deputy does not answer", "address", address, "error", err)
+	if _, err := client.BorrowPooled(call, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon}); err != nil {
+		a.doubt(ctx, address, err)
+	}
+}
+
+// doubt has another deputy chosen after a call failed, unless its caller ended
+// it, such as a client that left.
+func (a *Agent) doubt(caller context.Context, address string, err error) {
+	if caller.Err() != nil {
+		return
 	}
+	a.config.Link.Doubt(address)
+	a.config.Log.Debug("deputy does not answer", "address", address, "error", err)
 }
 
 // lost notes that the coordinator doesn't answer, once an outage. It returns
@@ -314,12 +323,11 @@
 	if !ok {
 		return false, false, 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	call, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	response, err := client.BorrowPooled(ctx, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account.Name, Units: missing})
+	response, err := client.BorrowPooled(call, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account.Name, Units: missing})
 	if err != nil {
-		a.config.Link.Doubt(address)
-		a.config.Log.Debug("deputy does not answer", "address", address, "error", err)
+		a.doubt(ctx, address, err)
 		return false, false, 0
 	}
 	a.mu.Lock()
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -40,13 +40,14 @@
 	target *coordination.Coordinator
 	deputy *coordination.Coordinator
 	cut    bool
+	doubts int // of the deputy
 }
 
 func (l *linkTo) Deputy() (coordinatorv1.CoordinatorClient, string, bool) {
 	return client{&linkTo{target: l.deputy, cut: l.cut}}, "deputy", l.deputy != nil
 }
 
-func (l *linkTo) Doubt(string) {}
+func (l *linkTo) Doubt(string) { l.doubts++ }
 
 func (l *linkTo) Coordinator() (coordinatorv1.CoordinatorClient, bool) {
 	return client{l}, l.target != nil
@@ -69,6 +70,9 @@
 }
 
 func (c client) BorrowPooled(ctx context.Context, r *coordinatorv1.BorrowRequest, _ ...grpc.CallOption) (*coordinatorv1.BorrowResponse, error) {
+	if ctx.Err() != nil {
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
 	if c.link.cut {
 		return nil, status.Error(codes.Unavailable, "cut")
 	}
@@ -298,6 +302,20 @@
 	}
 }
 
+// Guards against a client that leaves while its quota is borrowed, and by that
+// has all requests of the daemon sent to another deputy.
+func TestClientThatLeavesDoesNotDiscreditTheDeputy(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	f.agents[0].Take(left, account, 5000)
+	g.Expect(f.links[0].doubts).To(BeZero())
+	f.links[0].cut = true
+	f.agents[0].Take(t.Context(), account, 5000)
+	g.Expect(f.links[0].doubts).To(Equal(1))
+}
+
 // Guards against loads of a daemon that stay in the sums after it restarted,
 // fell silent or has none any more, and against its own load being told to it.
 func TestLoadsOfTheOthers(t *testing.T) {
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -200,8 +200,8 @@
 	}
 }
 
-// bucketOf refills the bucket of an account with a share of its rate. It returns nil if the account has
-// no limit.
+// bucketOf refills the bucket of an account with a share of its rate. It
+// returns nil if the account has no limit.
 func (c *Coordinator) bucketOf(table *traffic.Table, name string, share float64) (*bucket, *traffic.Account) {
 	account := table.Accounts[name]
 	if account == nil || account.Rate <= 0 {
