Ask the successor when a leaving executor's reply is lost

The forwarding daemon answered "unknown", though the successor knew the outcome. Change: after a call without a reply, the order's executor is looked up again, and a successor is asked. Before: TestLostReplyOfALeavingExecutor fails; after: it passes.

--- a/internal/orders/forward.go
+++ b/internal/orders/forward.go
@@ -40,7 +40,7 @@
 		case err == nil:
 			return replyFromProto(response)
 		case delivered:
-			return Reply{}, unknownOutcome(err, "no reply arrived from the executor")
+			return e.askSuccessor(ctx, executor, target, request, err)
 		case attempt == forwardAttempts || !pause(ctx, forwardPause):
 			// An earlier attempt of the caller may have reached the executor,
 			// so that this daemon cannot say "not run".
@@ -50,6 +50,19 @@
 	}
 }
 
+// askSuccessor asks the daemon that took over the ledger about an order whose
+// executor gave no reply, as when it stops while replies are on the way. The
+// successor has the order's outcome or decides about it.
+func (e *Executor) askSuccessor(ctx context.Context, executor string, silent Daemon, request *peerv1.ExecuteOrderRequest, cause error) (Reply, error) {
+	target, err := e.resolve(executor)
+	if err == nil && target.Address != silent.Address && ctx.Err() == nil {
+		if response, _, err := e.deliver(ctx, target.Address, request); err == nil {
+			return replyFromProto(response)
+		}
+	}
+	return Reply{}, unknownOutcome(cause, "no reply arrived from the executor")
+}
+
 func (e *Executor) resolve(id string) (Daemon, error) {
 	for range maxSuccessors {
 		if id == e.Self {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -428,3 +428,34 @@
 		t.Errorf("%d outcomes were not reported to the successor", n)
 	}
 }
+
+// Guards against an outcome that is called unknown because the executor stopped
+// while its reply was on the way, although its successor knows the outcome.
+func TestLostReplyOfALeavingExecutor(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c := newCluster(t, "a", "b", "c")
+	begun, goOn := make(chan bool), make(chan bool)
+	c.nodes["a"].Send = func(_ context.Context, r *peerv1.ExecuteOrderRequest, mark func() error) (*order.Response, bool, bool, error) {
+		if err := mark(); err != nil {
+			return nil, false, false, err
+		}
+		begun <- true
+		<-goOn
+		return c.upstream.execute(r.GetKey()), true, false, nil
+	}
+	sent := c.order("a")
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		_, err := c.nodes["c"].Execute(ctx, sent)
+		c.check(sent, err, result.Ran, 1)
+	})
+	<-begun
+	if err := c.nodes["a"].HandOver(ctx, "b", c.address("b")); err != nil {
+		t.Fatal(err)
+	}
+	c.dir.set("a", func(d *Daemon) { d.Successor = "b" })
+	c.nodes["a"].lose.Store(true)
+	close(goOn)
+	wg.Wait()
+}
