--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -221,6 +221,7 @@
 	all := faults(f)
 	rapid.Check(t, func(t *rapid.T) {
 		var script []step
+		gaps := 0
 		for range rapid.IntRange(0, 4).Draw(t, "faults") {
 			name := rapid.SampledFrom([]string{"end", "hang up in an event", "end in an event", "moved", "silent"}).Draw(t, "fault")
 			if name == "silent" && rapid.IntRange(0, 9).Draw(t, "rare") > 0 {
@@ -228,6 +229,7 @@
 			}
 			to := rapid.IntRange(0, nEvents-1).Draw(t, "after")
 			shift := rapid.IntRange(-2, 1).Draw(t, "shift")
+			gaps += max(shift, 0)
 			script = append(script, faultAfter(to, shift, all[name]))
 		}
 		f.mu.Lock()
@@ -248,6 +250,9 @@
 				}
 				return
 			}
+			if gaps > maxGaps && result.From(err).Code == result.StreamGone {
+				return // the client resumes after maxGaps gaps and says so after one more
+			}
 			if err != nil || event.ID != want || string(event.Data) != fmt.Sprintf("text %d", want) {
 				t.Fatalf("event %d: %+v, %v", want, event, err)
 			}
