Call the deputy in one place

Joining the pool and borrowing from it had the same call, time-out and doubt twice. Behaviour is unchanged; unit tests and linter of the package pass.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -174,25 +174,28 @@
 // joinPool brings this daemon's share into the deputy's pool before a request
 // needs it.
 func (a *Agent) joinPool(ctx context.Context) {
+	a.askDeputy(ctx, reportTimeout, "", 0)
+}
+
+// askDeputy asks the deputy for units of an account's quota. Another deputy is
+// chosen after a call failed, unless its caller ended it, such as a client that
+// left.
+func (a *Agent) askDeputy(ctx context.Context, timeout time.Duration, account string, units float64) (*coordinatorv1.BorrowResponse, bool) {
 	client, address, ok := a.config.Link.Deputy()
 	if !ok {
-		return
+		return nil, false
 	}
-	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if _, err := client.BorrowPooled(call, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon}); err != nil {
-		a.doubt(ctx, address, err)
+	response, err := client.BorrowPooled(call, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account, Units: units})
+	if err == nil {
+		return response, true
 	}
-}
-
-// doubt has another deputy chosen after a call failed, unless its caller ended
-// it, such as a client that left.
-func (a *Agent) doubt(caller context.Context, address string, err error) {
-	if caller.Err() != nil {
-		return
+	if ctx.Err() == nil {
+		a.config.Link.Doubt(address)
+		a.config.Log.Debug("deputy does not answer", "address", address, "error", err)
 	}
-	a.config.Link.Doubt(address)
-	a.config.Log.Debug("deputy does not answer", "address", address, "error", err)
+	return nil, false
 }
 
 // lost notes that the coordinator doesn't answer, once an outage. It returns
@@ -319,17 +322,10 @@
 
 // borrowPooled asks the deputy for what is missing.
 func (a *Agent) borrowPooled(ctx context.Context, account *traffic.Account, cost, missing float64) (answered, granted bool, wait time.Duration) {
-	client, address, ok := a.config.Link.Deputy()
+	response, ok := a.askDeputy(ctx, borrowTimeout, account.Name, missing)
 	if !ok {
 		return false, false, 0
 	}
-	call, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	response, err := client.BorrowPooled(call, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account.Name, Units: missing})
-	if err != nil {
-		a.doubt(ctx, address, err)
-		return false, false, 0
-	}
 	a.mu.Lock()
 	a.pooled = a.config.Now()
 	a.mu.Unlock()
