--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -123,7 +123,7 @@
 }
 
 func (s *Set) eligible(i *Instance, q Query) bool {
-	return !i.Leaving && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
+	return !i.Leaving && !i.displaced && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
 		(q.Accept == nil || q.Accept(i.Version))
 }
 
@@ -205,6 +205,9 @@
 	}
 }
 
+// Displaced records that another instance answered at the address.
+func (l *Lease) Displaced() { l.set.Displaced(l.ID) }
+
 // Observe records the outcome of the attempt in the instance's health.
 func (l *Lease) Observe(failed bool, latency, expected time.Duration) {
 	l.set.Observe(l.ID, failed, latency, expected)
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -22,6 +22,8 @@
 	inflight int
 	prefill  int     // prompt tokens of requests without a first event
 	weight   float64 // of its health
+	// displaced means that another instance answered at its address.
+	displaced bool
 	elsewhere
 }
 
@@ -89,6 +91,7 @@
 		old.LeftAt = now
 	}
 	old.Description = d
+	old.displaced = false
 	s.addresses[d.Address] = d.ID
 	s.index()
 	s.mu.Unlock()
@@ -97,6 +100,23 @@
 	s.syncHealth()
 }
 
+// Displaced records that another instance answered at the address of the given
+// one. It gets no more requests until it is announced again: an instance that
+// restarts while it cannot reach the store keeps its old entry for seconds, and
+// each request sent there uses up the retry budget.
+func (s *Set) Displaced(id string) {
+	s.mu.Lock()
+	i := s.instances[id]
+	first := i != nil && !i.displaced
+	if first {
+		i.displaced = true
+	}
+	s.mu.Unlock()
+	if first {
+		s.log.Info("instance displaced", "instance", id, "service", i.Service, "address", i.Address)
+	}
+}
+
 // Remove forgets an instance.
 func (s *Set) Remove(id string) {
 	s.mu.Lock()
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -56,5 +56,5 @@
 
 // String returns the name used in logs and metrics.
 func (e attemptEnd) String() string {
-	return [...]string{"answered", "unsent", "refused", "lost", "broken", "left", "expired"}[e]
+	return [...]string{"answered", "unsent", "misdirected", "refused", "lost", "broken", "left", "expired"}[e]
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -245,6 +245,33 @@
 	g.Expect(s.runs()).To(Equal(0))
 }
 
+// Guards against the retry budget being used up by an instance that restarted
+// under another ID while its old entry stays in the store: each daemon sends one
+// request there, and none that the budget doesn't cover.
+func TestDisplacedInstanceGetsOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	restarted := s.worker("new", "order", worker.Behaviour{})
+	s.worker("sound", "lookup", worker.Behaviour{})
+	old := fleet.Description{ID: "old", Service: "lookup", Address: restarted.Address(), DataCentre: "dc", Slots: 800}
+	s.set.Put(old)
+	for range 20 {
+		g.Expect(s.send(t.Context(), "/lookup/1", nil).status).To(Equal(200))
+	}
+	g.Expect(restarted.Misdirected()).To(BeNumerically("<=", 1))
+
+	s.budget.Store(0)
+	s.set.Put(old)
+	second := old
+	second.ID = "older"
+	second.Address = s.worker("new-2", "order", worker.Behaviour{}).Address()
+	s.set.Put(second)
+	s.set.Remove("sound")
+	g.Expect(s.send(t.Context(), "/lookup/1", nil).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(s.runs()).To(Equal(20))
+	g.Expect(restarted.Misdirected() + s.workers["new-2"].Misdirected()).To(BeNumerically("<=", 2))
+}
+
 // Guards against failures of a lookup that another worker could answer.
 func TestLookupIsRepeated(t *testing.T) {
 	for name, b := range map[string]worker.Behaviour{
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -32,6 +32,8 @@
 	answered attemptEnd = iota
 	// unsent: no byte reached the instance.
 	unsent
+	// misdirected: another instance uses the address; nothing ran.
+	misdirected
 	// refused: the instance said that the request did not run.
 	refused
 	// lost: the request may have run, and no part of an answer reached the client.
@@ -73,14 +75,13 @@
 		case expired:
 			q.refuse(q.late())
 			return
-		case unsent:
+		case unsent, misdirected:
 			unsentCount++
-			if unsentCount > unsentLimit || q.remaining() < leastAttempt {
+			if unsentCount > unsentLimit || q.remaining() < leastAttempt || end == misdirected && !q.takeRetry() {
 				q.refuse(q.withoutInstance(stream))
 				return
 			}
 			q.excluded = append(q.excluded, lease.ID)
-			continue
 		case refused, lost, broken:
 			q.excluded = append(q.excluded, lease.ID)
 			if f := q.mayRepeat(end, stream); f != nil {
@@ -115,12 +116,17 @@
 		return q.late()
 	case end == broken && !stream.resumable():
 		return unknown(result.UpstreamIncomplete, "the stream broke without an event ID")
-	case !q.prepaid.Swap(false) && !q.relay.options.Budget.Take(q.service.Name):
+	case !q.takeRetry():
 		return q.exhausted(end, "the retry budget is spent")
 	}
 	return nil
 }
 
+// takeRetry draws on the retry budget, unless the next attempt was drawn already.
+func (q *request) takeRetry() bool {
+	return q.prepaid.Swap(false) || q.relay.options.Budget.Take(q.service.Name)
+}
+
 // exhausted is the answer when the last allowed attempt failed.
 func (q *request) exhausted(end attemptEnd, detail string) *failure {
 	if end == refused && !q.ran {
@@ -166,8 +172,8 @@
 		lease.Observe(false, 0, 0)
 		return refused, "refused"
 	case WrongInstance:
-		lease.Observe(true, 0, 0)
-		return unsent, "another instance uses the address"
+		lease.Displaced()
+		return misdirected, "another instance uses the address"
 	case Garbled:
 		q.attempts++
 		q.ran = true
--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -46,6 +46,8 @@
 	listener  net.Listener
 	server    *http.Server
 	active    atomic.Int64
+	// misdirected counts requests that were meant for another instance.
+	misdirected atomic.Int64
 
 	mu   sync.Mutex
 	runs []Run
@@ -83,6 +85,9 @@
 // Active returns the number of requests that the worker runs.
 func (w *Worker) Active() int { return int(w.active.Load()) }
 
+// Misdirected returns the number of requests that were meant for another instance.
+func (w *Worker) Misdirected() int { return int(w.misdirected.Load()) }
+
 // Entry returns the worker's entry in the store.
 func (w *Worker) Entry(zone, state string) []byte {
 	entry, err := json.Marshal(map[string]any{
@@ -101,6 +106,7 @@
 	id := r.Header.Get("X-Request-Id")
 	rw.Header().Set("X-Request-Id", id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.ID {
+		w.misdirected.Add(1)
 		rw.Header().Set("X-Instance-Id", w.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
