--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -14,96 +15,154 @@
 // streamCopier copies the in-flight requests of a stopping daemon to a peer in
 // another data centre. If that peer is lost, it goes on with the next one.
 type streamCopier struct {
-	d *Daemon
+	log      *slog.Logger
+	daemonID string
+	running  func() []copiedRequest
+	// orphans returns the records that are kept for daemons that are gone, and
+	// refuses further ones.
+	orphans func() []*peerv1.RequestRecord
+	// connect returns the next peer that takes records.
+	connect func(ctx context.Context) (recordPeer, error)
 
-	mu          sync.Mutex
-	replicator  *handover.Replicator
+	mu       sync.Mutex
+	peer     recordPeer               // nil: none is left
+	requests map[string]copiedRequest // by record ID
+}
+
+// copiedRequest is an in-flight request, a *proxy.Inflight.
+type copiedRequest interface {
+	RecordID() string
+	Record(daemonID string, events []proxy.Event) *peerv1.RequestRecord
+	After(lastID int64) proxy.Progress
+	Copy(open func(events []proxy.Event) error, gate proxy.Gate) error
+	Move(addresses []string)
+}
+
+// recordPeer keeps records of requests at another daemon.
+type recordPeer interface {
+	Open(ctx context.Context, record *peerv1.RequestRecord) error
+	Append(ctx context.Context, recordID string, events ...*peerv1.Event) error
+	Close(ctx context.Context, recordID string, takeOver bool) error
+	Stop()
+	Done() <-chan struct{}
+	// HTTPAddress is where callers go on with their requests.
+	HTTPAddress() string
+}
+
+// peerReplicator is the recordPeer of another daemon.
+type peerReplicator struct {
+	*handover.Replicator
 	httpAddress string
-	tried       map[string]bool            // daemon IDs
-	requests    map[string]*proxy.Inflight // by record ID
 }
 
+// HTTPAddress implements recordPeer.
+func (r peerReplicator) HTTPAddress() string { return r.httpAddress }
+
 func newStreamCopier(d *Daemon) *streamCopier {
-	return &streamCopier{d: d, tried: make(map[string]bool), requests: make(map[string]*proxy.Inflight)}
+	tried := make(map[string]bool) // daemon IDs
+	return &streamCopier{
+		log: d.log, daemonID: d.id, requests: make(map[string]copiedRequest),
+		running: func() []copiedRequest {
+			var running []copiedRequest
+			for _, f := range d.proxy.Running() {
+				running = append(running, f)
+			}
+			return running
+		},
+		orphans: func() []*peerv1.RequestRecord {
+			d.keeper.Leave()
+			return d.keeper.Orphans()
+		},
+		connect: func(ctx context.Context) (recordPeer, error) { return d.nextRecordPeer(ctx, tried) },
+	}
 }
 
 var errNoPeer = errors.New("no daemon is left that could keep the streams")
 
-// start copies all running requests.
-func (c *streamCopier) start(ctx context.Context) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.connectLocked(ctx); err != nil {
-		return err
-	}
-	for _, f := range c.d.proxy.Running() {
-		c.requests[proxy.RecordID(f.Account, f.ID)] = f
-		replicator := c.replicator
-		err := f.Copy(func(events []proxy.Event) error {
-			return replicator.Open(ctx, f.Record(c.d.id, events))
-		}, c.gate)
+// nextRecordPeer opens a stream to the next peer outside the data centre that
+// was not tried before.
+func (d *Daemon) nextRecordPeer(ctx context.Context, tried map[string]bool) (recordPeer, error) {
+	for _, m := range d.gossip.Overlay().PeersOutside(d.settings.Daemon.DataCentre, d.id, handOverCandidates) {
+		if tried[m.DaemonID] {
+			continue
+		}
+		tried[m.DaemonID] = true
+		client, err := d.pool.Client(m.PeerAddress)
+		if err != nil {
+			d.log.Warn("peer not reached", "peer", m.Name, "error", err.Error())
+			continue
+		}
+		replicator, err := handover.NewReplicator(ctx, client)
 		if err != nil {
-			c.d.log.Warn("request not copied", "request", f.ID, "error", err.Error())
+			d.log.Warn("peer takes no streams", "peer", m.Name, "error", err.Error())
+			continue
 		}
+		return peerReplicator{replicator, m.HTTPAddress}, nil
 	}
-	c.d.log.Info("streams copied", "count", len(c.requests), "peer", c.httpAddress)
-	c.passOnLocked(ctx)
-	return nil
+	return nil, errNoPeer
 }
 
-// passOnLocked gives away the records that this daemon keeps for daemons that
-// are gone. Daemons that still run copy theirs elsewhere when Leave ends their
-// streams.
-func (c *streamCopier) passOnLocked(ctx context.Context) {
-	c.d.keeper.Leave()
-	for _, record := range c.d.keeper.Orphans() {
-		if err := c.replicator.Open(ctx, record); err != nil {
-			c.d.log.Warn("kept request not passed on", "request", record.GetRequestId(), "error", err.Error())
+// start copies all running requests. Requests that a caller takes over from the
+// records kept here are copied too, also those taken while the others are copied.
+func (c *streamCopier) start(ctx context.Context) error {
+	peer, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.peer = peer
+	c.mu.Unlock()
+	c.copyNew(ctx)
+	for _, record := range c.orphans() {
+		if err := peer.Open(ctx, record); err != nil {
+			c.log.Warn("kept request not passed on", "request", record.GetRequestId(), "error", err.Error())
 		}
 	}
+	c.copyNew(ctx)
+	c.log.Info("streams copied", "count", len(c.requests), "peer", peer.HTTPAddress())
+	return nil
 }
 
-// connectLocked opens a stream to the next peer outside the data centre.
-func (c *streamCopier) connectLocked(ctx context.Context) error {
-	overlay := c.d.gossip.Overlay()
-	for _, m := range overlay.PeersOutside(c.d.settings.Daemon.DataCentre, c.d.id, handOverCandidates) {
-		if c.tried[m.DaemonID] {
-			continue
+// copyNew copies the running requests that have no copy yet.
+func (c *streamCopier) copyNew(ctx context.Context) {
+	for _, f := range c.running() {
+		id := f.RecordID()
+		c.mu.Lock()
+		peer, known := c.peer, c.requests[id] != nil
+		if !known {
+			c.requests[id] = f
 		}
-		c.tried[m.DaemonID] = true
-		client, err := c.d.pool.Client(m.PeerAddress)
-		if err != nil {
+		c.mu.Unlock()
+		if known || peer == nil {
 			continue
 		}
-		replicator, err := handover.NewReplicator(ctx, client)
+		err := f.Copy(func(events []proxy.Event) error {
+			return peer.Open(ctx, f.Record(c.daemonID, events))
+		}, c.gate)
 		if err != nil {
-			c.d.log.Warn("peer takes no streams", "peer", m.Name, "error", err.Error())
-			continue
+			c.log.Warn("request not copied", "request", id, "error", err.Error())
 		}
-		c.replicator, c.httpAddress = replicator, m.HTTPAddress
-		return nil
 	}
-	return errNoPeer
 }
 
 // gate lets events pass to the caller once the peer holds them.
 func (c *streamCopier) gate(ctx context.Context, recordID string, events []proxy.Event) error {
 	for {
 		c.mu.Lock()
-		replicator, f := c.replicator, c.requests[recordID]
+		peer, f := c.peer, c.requests[recordID]
 		c.mu.Unlock()
-		if replicator == nil {
+		if peer == nil {
 			return nil // no peer is left; the stream goes on without a copy
 		}
 		converted := make([]*peerv1.Event, len(events))
 		for i, e := range events {
 			converted[i] = proxy.ProtoEvent(e)
 		}
-		err := replicator.Append(ctx, recordID, converted...)
+		err := peer.Append(ctx, recordID, converted...)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		if !c.replace(ctx, replicator) {
+		if !c.replace(ctx, peer) {
 			return err // the peer refused this record: the caller has resumed there
 		}
 		c.reopen(ctx, f)
@@ -112,7 +171,7 @@
 
 // replace connects to the next peer if the given one is lost. It reports
 // whether another peer, or none, is in use now.
-func (c *streamCopier) replace(ctx context.Context, lost *handover.Replicator) bool {
+func (c *streamCopier) replace(ctx context.Context, lost recordPeer) bool {
 	select {
 	case <-lost.Done():
 	default:
@@ -120,52 +179,56 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.replicator != lost {
+	if c.peer != lost {
 		return true
 	}
-	c.replicator = nil
-	if err := c.connectLocked(ctx); err != nil {
-		c.d.log.Warn("streams go on without a copy", "error", err.Error())
+	c.peer = nil
+	peer, err := c.connect(ctx)
+	if err != nil {
+		c.log.Warn("streams go on without a copy", "error", err.Error())
+		return true
 	}
+	c.peer = peer
 	return true
 }
 
 // reopen copies a request to a replacement peer. The caller of gate holds the
 // request's emission, so that no event is missed.
-func (c *streamCopier) reopen(ctx context.Context, f *proxy.Inflight) {
+func (c *streamCopier) reopen(ctx context.Context, f copiedRequest) {
 	c.mu.Lock()
-	replicator := c.replicator
+	peer := c.peer
 	c.mu.Unlock()
-	if replicator == nil || f == nil {
+	if peer == nil || f == nil {
 		return
 	}
-	if err := replicator.Open(ctx, f.Record(c.d.id, f.After(0).Events)); err != nil {
-		c.d.log.Warn("request not copied again", "request", f.ID, "error", err.Error())
+	if err := peer.Open(ctx, f.Record(c.daemonID, f.After(0).Events)); err != nil {
+		c.log.Warn("request not copied again", "request", f.RecordID(), "error", err.Error())
 	}
 }
 
 // finish gives the requests that still run to the peer and tells their readers.
 func (c *streamCopier) finish(ctx context.Context) {
+	c.copyNew(ctx)
 	c.mu.Lock()
-	replicator, address := c.replicator, c.httpAddress
+	peer := c.peer
 	c.mu.Unlock()
-	if replicator == nil {
+	if peer == nil {
 		return
 	}
-	for _, f := range c.d.proxy.Running() {
-		if err := replicator.Close(ctx, proxy.RecordID(f.Account, f.ID), true); err != nil {
-			c.d.log.Warn("request not handed over", "request", f.ID, "error", err.Error())
+	for _, f := range c.running() {
+		if err := peer.Close(ctx, f.RecordID(), true); err != nil {
+			c.log.Warn("request not handed over", "request", f.RecordID(), "error", err.Error())
 			continue
 		}
-		f.Move([]string{address})
+		f.Move([]string{peer.HTTPAddress()})
 	}
 }
 
 func (c *streamCopier) stop() {
 	c.mu.Lock()
-	replicator := c.replicator
+	peer := c.peer
 	c.mu.Unlock()
-	if replicator != nil {
-		replicator.Stop()
+	if peer != nil {
+		peer.Stop()
 	}
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -16,24 +16,45 @@
 // Running returns the unfinished model requests.
 func (p *Proxy) Running() []*Inflight { return p.registry.running() }
 
-// WaitIdle waits until no model request is running or ctx ends.
+// WaitIdle waits until no model request is running here or ctx ends. Requests
+// that are taken over in the meantime count.
 func (p *Proxy) WaitIdle(ctx context.Context) error {
-	for _, f := range p.registry.running() {
-		last := int64(0)
-		for {
-			progress, err := f.Next(ctx, last)
-			if err != nil {
-				return err
-			}
-			if progress.Done || progress.Moved != nil {
-				break
-			}
-			last += int64(len(progress.Events))
+	for {
+		f := firstHere(p.registry.running())
+		if f == nil {
+			return nil
+		}
+		if err := f.wait(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// firstHere returns a request that was not moved, nil if there is none.
+func firstHere(running []*Inflight) *Inflight {
+	for _, f := range running {
+		if f.After(0).Moved == nil {
+			return f
 		}
 	}
 	return nil
 }
 
+// wait returns when the request is finished or moved.
+func (f *Inflight) wait(ctx context.Context) error {
+	last := int64(0)
+	for {
+		progress, err := f.Next(ctx, last)
+		if err != nil {
+			return err
+		}
+		if progress.Done || progress.Moved != nil {
+			return nil
+		}
+		last += int64(len(progress.Events))
+	}
+}
+
 // Copy passes the request and its events to open and, if that succeeds, lets
 // every later event pass gate before a reader sees it. No event is emitted in
 // between.
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -79,7 +79,7 @@
 	gate := f.gate
 	f.mu.Unlock()
 	if gate != nil {
-		if err := gate(ctx, RecordID(f.Account, f.ID), []Event{event}); err != nil {
+		if err := gate(ctx, f.RecordID(), []Event{event}); err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -21,10 +21,13 @@
 // request IDs may be equal. Account names contain no slash.
 func RecordID(account, requestID string) string { return account + "/" + requestID }
 
+// RecordID names the request among the records of all client accounts.
+func (f *Inflight) RecordID() string { return RecordID(f.Account, f.ID) }
+
 // Record returns what another daemon needs to finish the request.
 func (f *Inflight) Record(daemonID string, events []Event) *peerv1.RequestRecord {
 	record := &peerv1.RequestRecord{
-		RequestId: RecordID(f.Account, f.ID), ClientAccount: f.Account, Service: f.Service, Body: f.Body,
+		RequestId: f.RecordID(), ClientAccount: f.Account, Service: f.Service, Body: f.Body,
 		DeadlineUnixMs: f.Deadline.UnixMilli(), FromDaemonId: daemonID,
 		Headers: []*peerv1.Header{{Name: sessionHeader, Value: f.Session}},
 	}
