--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -36,6 +36,9 @@
 	began  bool
 	// Load is the instance's load as known when it was picked, without the request.
 	Load Load
+	// PromptSource is the address of the instance that probably keeps the shared
+	// part of the prompt beside the picked one; empty if none is known.
+	PromptSource string
 }
 
 // Weights of the score, in units of one running request.
@@ -46,8 +49,9 @@
 	prefillUnit = 6000.0
 	// sharedUnit is the number of cached prompt tokens that are worth one
 	// running request. Reading a token again costs about three times what it
-	// costs others to wait for it.
-	sharedUnit = 1200.0
+	// costs others to wait for it, and copying it from another engine a sixth of
+	// reading it. With 1,200, short shared parts were spread over all instances.
+	sharedUnit = 400.0
 	// secondRank is the part of that worth which the second instance in
 	// rendezvous order has: it takes over when the first is busy.
 	secondRank = 0.5
@@ -61,6 +65,10 @@
 	// distancePenalty breaks ties in favour of the own data centre, because
 	// bytes between data centres are paid for.
 	distancePenalty = 0.7
+	// sourceMargin is how long before the end of a leaving instance no more
+	// prompts are copied from it. With copies up to the end, the first events of
+	// the requests that waited for them came late.
+	sourceMargin = 500 * time.Millisecond
 	// jitter keeps daemons with the same view from choosing alike.
 	jitter = 0.5
 )
@@ -70,17 +78,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *Instance
-	home, second := s.homes(q)
+	homes := s.homes(q)
 	sample := s.sampleShare()
 	for round := 0; round < 2 && best == nil; round++ {
 		// The second round takes all, if the sample had no eligible instance.
-		best = s.bestOf(q, home, second, sample)
+		best = s.bestOf(q, homes, sample)
 		sample = 1
 	}
 	if best == nil {
 		return nil, ErrNoInstance
 	}
-	lease := &Lease{Description: best.Description, set: s, prompt: q.Prompt, Load: best.load()}
+	lease := &Lease{
+		Description: best.Description, set: s, prompt: q.Prompt, Load: best.load(), PromptSource: homes.source(best),
+	}
 	best.inflight++
 	best.prefill += q.Prompt
 	return lease, nil
@@ -88,18 +98,18 @@
 
 // bestOf returns the eligible instance with the lowest score among the homes
 // and a random share of the others.
-func (s *Set) bestOf(q Query, home, second *Instance, sample float64) *Instance {
+func (s *Set) bestOf(q Query, homes homes, sample float64) *Instance {
 	var best *Instance
 	bestScore := 0.0
 	for _, i := range s.byService[q.Service] {
-		if !s.eligible(i, q) || sample < 1 && i != home && i != second && rand.Float64() >= sample {
+		if !s.eligible(i, q) || sample < 1 && i != homes.first && i != homes.second && rand.Float64() >= sample {
 			continue
 		}
 		score := s.score(i, q)
 		switch i {
-		case home:
+		case homes.first:
 			score -= float64(q.Shared) / sharedUnit
-		case second:
+		case homes.second:
 			score -= float64(q.Shared) / sharedUnit * secondRank
 		}
 		if best == nil || score < bestScore {
@@ -122,8 +132,11 @@
 	return Load{Inflight: i.inflight + i.inflightThere, Prefill: i.prefill + i.prefillThere}
 }
 
-func (s *Set) eligible(i *Instance, q Query) bool {
-	return !i.Leaving && !i.displaced && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
+func (s *Set) eligible(i *Instance, q Query) bool { return !i.Leaving && s.present(i, q) }
+
+// present reports whether an instance that fits the request is at its address.
+func (s *Set) present(i *Instance, q Query) bool {
+	return !i.displaced && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
 		(q.Accept == nil || q.Accept(i.Version))
 }
 
@@ -148,26 +161,64 @@
 	return score
 }
 
-// homes returns the first two instances in rendezvous order for the shared
-// prompt, the same on every daemon with the same view.
-func (s *Set) homes(q Query) (home, second *Instance) {
+// homes are the instances that rank first in rendezvous order for a shared
+// prompt. Every daemon with the same view finds the same ones.
+type homes struct {
+	// first and second can take the request.
+	first, second *Instance
+	// sources may keep the shared part. Leaving instances are among them: they
+	// were homes until their notice.
+	sources [2]*Instance
+}
+
+// source returns the address from which an instance can get the shared part. An
+// instance that has just become the home gets it from the one before, which
+// ranks next.
+func (h homes) source(picked *Instance) string {
+	for _, i := range h.sources {
+		if i != nil && i != picked && i.Version == picked.Version {
+			return i.Address
+		}
+	}
+	return ""
+}
+
+// homes ranks the instances of the service for the request's shared prompt.
+func (s *Set) homes(q Query) homes {
+	var h homes
 	if q.Affinity == "" {
-		return nil, nil
+		return h
 	}
-	var most, next uint64
+	var most, next, sourceMost, sourceNext uint64
 	for _, i := range s.byService[q.Service] {
-		if !s.eligible(i, q) || i.weight <= 0 {
+		if i.weight <= 0 || !s.present(i, q) {
 			continue
 		}
-		switch hash := rendezvous(q.Affinity, i.ID); {
-		case home == nil || hash > most:
-			second, next = home, most
-			home, most = i, hash
-		case second == nil || hash > next:
-			second, next = i, hash
+		hash := rendezvous(q.Affinity, i.ID)
+		if s.keepsPrompts(i) {
+			rank(i, hash, &h.sources[0], &h.sources[1], &sourceMost, &sourceNext)
+		}
+		if !i.Leaving {
+			rank(i, hash, &h.first, &h.second, &most, &next)
 		}
 	}
-	return home, second
+	return h
+}
+
+// keepsPrompts reports whether other instances can still copy from one.
+func (s *Set) keepsPrompts(i *Instance) bool {
+	return !i.Leaving || s.clock.Since(i.LeftAt) < i.LeavesIn-sourceMargin
+}
+
+// rank keeps the two instances with the highest hashes.
+func rank(i *Instance, hash uint64, first, second **Instance, most, next *uint64) {
+	switch {
+	case *first == nil || hash > *most:
+		*second, *next = *first, *most
+		*first, *most = i, hash
+	case *second == nil || hash > *next:
+		*second, *next = i, hash
+	}
 }
 
 func rendezvous(key, id string) uint64 {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -250,6 +250,7 @@
 func (q *request) encode(lease *fleet.Lease, stream *streamState) *exchange.Request {
 	attempt := Attempt{
 		InstanceID: lease.ID, Remaining: q.remaining(), Urgency: q.urgency(), LastEvent: stream.lastID,
+		PromptSource: lease.PromptSource,
 	}
 	if q.account != nil {
 		attempt.Account = q.account.Name
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -30,6 +30,9 @@
 	Remaining  time.Duration
 	Urgency    int    // 0 is first
 	LastEvent  string // resume after this event
+	// PromptSource is the address of an instance from which the one that gets
+	// the request copies the shared part of the prompt; empty: it reads all.
+	PromptSource string
 }
 
 // Verdict is what the head of a reply says about the request's execution.
