--- a/internal/scaling/duty.go
+++ b/internal/scaling/duty.go
@@ -139,7 +139,7 @@
 	s.observe(counts, learning, now)
 	plan := Plan(d.config.Policy, Situation{
 		Scaling: service.Scaling, Need: d.need(s, busy, learning), Ready: readyReclaimable(counts),
-		Ordered: s.orderedReclaimable(), Dry: now < s.dryUntil,
+		Ordered: s.ordered(true), Kept: s.ordered(false), Dry: now < s.dryUntil,
 	})
 	repeat := s.mustRepeat(now)
 	for _, centre := range byPrice(service.Scaling.Prices) {
@@ -212,11 +212,11 @@
 	return ready
 }
 
-// orderedReclaimable returns the reclaimable instances that were ordered, by data centre.
-func (s *serviceState) orderedReclaimable() map[string]int {
+// ordered returns the instances of a kind that were ordered, by data centre.
+func (s *serviceState) ordered(reclaimable bool) map[string]int {
 	ordered := map[string]int{}
 	for place, p := range s.places {
-		if place.Reclaimable {
+		if place.Reclaimable == reclaimable {
 			ordered[place.DataCentre] = p.ordered
 		}
 	}
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -42,8 +42,9 @@
 	Need int
 	// Ready reclaimable instances by data centre.
 	Ready map[string]int
-	// Ordered reclaimable instances by data centre.
-	Ordered map[string]int
+	// Ordered and Kept are the reclaimable and the other instances that were
+	// ordered, by data centre.
+	Ordered, Kept map[string]int
 	// Dry means that no further reclaimable instances are to be had.
 	Dry bool
 }
@@ -92,8 +93,10 @@
 }
 
 // placeFloor adds instances that aren't reclaimable: first what the minimum of
-// each data centre asks for, then in the cheapest ones. They have precedence
-// over reclaimable ones that aren't there yet.
+// each data centre asks for, then those that stand already, the cheapest first,
+// and then new ones in the cheapest data centres. Instances that change places
+// are paid twice while they start, and lose the prompts that they keep. They
+// have precedence over reclaimable ones that aren't there yet.
 func placeFloor(plan map[Place]int, centres []string, s Situation, floor int) {
 	for _, c := range centres {
 		if missing := s.Scaling.Min - plan[Place{c, true}]; missing > 0 {
@@ -101,12 +104,19 @@
 			floor -= missing
 		}
 	}
+	for _, most := range []func(c string) int{
+		func(c string) int { return s.Kept[c] - plan[Place{c, false}] },
+		func(string) int { return floor },
+	} {
+		for _, c := range centres {
+			standing := min(plan[Place{c, true}], max(s.Ready[c], 0))
+			room := s.Scaling.Max - standing - plan[Place{c, false}]
+			add := max(min(room, floor, most(c)), 0)
+			plan[Place{c, false}] += add
+			floor -= add
+		}
+	}
 	for _, c := range centres {
-		standing := min(plan[Place{c, true}], max(s.Ready[c], 0))
-		room := s.Scaling.Max - standing - plan[Place{c, false}]
-		add := max(min(room, floor), 0)
-		plan[Place{c, false}] += add
-		floor -= add
 		plan[Place{c, true}] = min(plan[Place{c, true}], s.Scaling.Max-plan[Place{c, false}])
 	}
 }
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -25,13 +25,14 @@
 func TestPlanSurvivesTheLossOfADataCentre(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		need := rapid.IntRange(3, 20).Draw(t, "need")
-		ready := map[string]int{}
+		ready, kept := map[string]int{}, map[string]int{}
 		for _, c := range []string{"a", "b", "c"} {
 			ready[c] = rapid.IntRange(0, 8).Draw(t, "ready "+c)
+			kept[c] = rapid.IntRange(0, 12).Draw(t, "kept "+c)
 		}
 		dry := rapid.Bool().Draw(t, "dry")
 		plan := scaling.Plan(scaling.DefaultPolicy(), scaling.Situation{
-			Scaling: bounds, Need: need, Ready: ready, Ordered: ready, Dry: dry,
+			Scaling: bounds, Need: need, Ready: ready, Ordered: ready, Kept: kept, Dry: dry,
 		})
 		floor, most, sum := 0, 0, 0
 		for place, n := range plan {
@@ -66,6 +67,21 @@
 	g.Expect(plan[scaling.Place{DataCentre: "c"}]).To(Equal(1))
 }
 
+// Guards against instances that move to a cheaper data centre after a reclaim
+// wave has ended there: until the new ones have started and read the prompts,
+// the load is late.
+func TestInstancesKeepTheirPlaces(t *testing.T) {
+	g := NewWithT(t)
+	kept := map[string]int{"a": 4, "b": 2, "c": 11}
+	plan := scaling.Plan(scaling.DefaultPolicy(), scaling.Situation{Scaling: bounds, Need: 20, Dry: true, Kept: kept})
+	g.Expect(plan[scaling.Place{DataCentre: "c"}]).To(Equal(11))
+	g.Expect(plan[scaling.Place{DataCentre: "b"}]).To(Equal(2))
+	g.Expect(plan[scaling.Place{DataCentre: "a"}]).To(Equal(7), "what is missing is ordered where it is cheapest")
+	plan = scaling.Plan(scaling.DefaultPolicy(), scaling.Situation{Scaling: bounds, Need: 8, Dry: true, Kept: kept})
+	g.Expect(plan[scaling.Place{DataCentre: "b"}]).To(Equal(1), "the dearest go first, down to the minimum")
+	g.Expect(plan[scaling.Place{DataCentre: "a"}]).To(Equal(4))
+}
+
 // fleetSim lets a cloud change a set of instances on a fake clock.
 type fleetSim struct {
 	clock  *clockwork.FakeClock
