--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -42,15 +43,7 @@
 // request takes several times as long through a small machine's link.
 func listed(all []member, load float64) []member {
 	sorted := slices.Clone(all)
-	slices.SortStableFunc(sorted, func(a, b member) int {
-		switch {
-		case a.capacity() > b.capacity():
-			return -1
-		case a.capacity() < b.capacity():
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(sorted, func(a, b member) int { return cmp.Compare(b.capacity(), a.capacity()) })
 	sum, least := 0.0, math.Inf(1)
 	for i, m := range sorted {
 		if i == 0 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,7 +122,7 @@
 	})
 	d.instances.Daemons = d.members.count
 	d.peers = peer.NewPool(peerIdle, time.Now)
-	d.link = &link{self: s.CoordinatorAddress, members: d.members, peers: d.peers, doubts: map[string]time.Duration{}, vacant: make(chan struct{}, 1)}
+	d.link = &link{log: log, self: s.CoordinatorAddress, members: d.members, peers: d.peers, doubts: map[string]time.Duration{}, vacant: make(chan struct{}, 1)}
 	d.state = &state{
 		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyOther,
 	}
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -32,6 +33,7 @@
 
 // link reaches the current coordinator, in this process or another.
 type link struct {
+	log     *slog.Logger
 	self    string // coordinator address of this daemon
 	members *members
 	local   coordinatorv1.CoordinatorServer
@@ -94,6 +96,7 @@
 	}
 	conn, err := l.peers.Conn(address)
 	if err != nil {
+		l.log.Warn("daemon not reached", "address", address, "error", err)
 		return nil, false
 	}
 	return coordinatorv1.NewCoordinatorClient(conn), true
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *Instance
-	homes := s.homes(q)
+	homes := s.homesOf(q)
 	sample := s.sampleShare()
 	for round := 0; round < 2 && best == nil; round++ {
 		// The second round takes all, if the sample had no eligible instance.
@@ -98,7 +98,7 @@
 
 // bestOf returns the eligible instance with the lowest score among the homes
 // and a random share of the others.
-func (s *Set) bestOf(q Query, homes homes, sample float64) *Instance {
+func (s *Set) bestOf(q Query, homes promptHomes, sample float64) *Instance {
 	var best *Instance
 	bestScore := 0.0
 	for _, i := range s.byService[q.Service] {
@@ -161,9 +161,9 @@
 	return score
 }
 
-// homes are the instances that rank first in rendezvous order for a shared
+// promptHomes are the instances that rank first in rendezvous order for a shared
 // prompt. Every daemon with the same view finds the same ones.
-type homes struct {
+type promptHomes struct {
 	// first and second can take the request.
 	first, second *Instance
 	// sources may keep the shared part. Leaving instances are among them: they
@@ -174,7 +174,7 @@
 // source returns the address from which an instance can get the shared part. An
 // instance that has just become the home gets it from the one before, which
 // ranks next.
-func (h homes) source(picked *Instance) string {
+func (h promptHomes) source(picked *Instance) string {
 	for _, i := range h.sources {
 		if i != nil && i != picked && i.Version == picked.Version {
 			return i.Address
@@ -183,9 +183,9 @@
 	return ""
 }
 
-// homes ranks the instances of the service for the request's shared prompt.
-func (s *Set) homes(q Query) homes {
-	var h homes
+// homesOf ranks the instances of the service for the request's shared prompt.
+func (s *Set) homesOf(q Query) promptHomes {
+	var h promptHomes
 	if q.Affinity == "" {
 		return h
 	}
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -1,6 +1,7 @@
 package scaling
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -128,13 +129,7 @@
 		centres = append(centres, c)
 	}
 	slices.SortFunc(centres, func(a, b string) int {
-		if prices[a] != prices[b] {
-			if prices[a] < prices[b] {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a, b)
+		return cmp.Or(cmp.Compare(prices[a], prices[b]), strings.Compare(a, b))
 	})
 	return centres
 }
