--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -68,7 +68,9 @@
 	// Lenient reports whether the removal of a key is applied late when it may
 	// be a consequence of an outage.
 	Lenient func(key string) bool
-	// OnOutage is called when a call fails. It must not block.
+	// OnOutage is called when a call fails, and when the first one after it
+	// succeeds: polls that were sent in between may never be answered. It must
+	// not block.
 	OnOutage func()
 	// OnChange is called for each change in revision order. It must not block.
 	OnChange func(Change)
@@ -286,11 +288,16 @@
 }
 
 func (m *Mirror) prove(sent time.Duration) {
-	if outage := m.outage.Load(); outage > m.proof.Load() {
-		m.config.Log.Info("dependency regained", "dependency", "store", "revision", m.Revision())
-	}
+	regained := m.outage.Load() > m.proof.Load()
 	m.proof.Store(int64(sent))
 	m.failing.Store(false)
+	if !regained {
+		return
+	}
+	m.config.Log.Info("dependency regained", "dependency", "store", "revision", m.Revision())
+	if m.config.OnOutage != nil {
+		m.config.OnOutage()
+	}
 }
 
 // Failing reports whether the latest call to the store got no answer.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +218,31 @@
 	f.Follow(mirror.Delta{Cursor: mirror.Cursor{Index: 2, Revision: 8}, Deleted: []string{"a"}}, 3, 3)
 	g.Expect(has(f, "a")()).To(BeTrue())
 }
+
+// Guards against a leaving instance that is seen seconds late: a poll that was
+// sent just before the store's return is not answered, and only the end of an
+// outage seen by another poll tells that it must be sent again.
+func TestReturnOfTheStoreEndsOtherPolls(t *testing.T) {
+	g := NewWithT(t)
+	s := &script{at: 1}
+	var interrupted atomic.Int64
+	var m *mirror.Mirror
+	m = mirror.New(mirror.Config{
+		Store: s, Log: slog.New(slog.DiscardHandler), Prefix: "op/", Wait: func() time.Duration { return 50 * time.Millisecond },
+		Pause: time.Millisecond, Now: bootclock.Now, OnChange: func(mirror.Change) {},
+		OnOutage: func() {
+			if !m.Failing() {
+				interrupted.Add(1)
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }() // ends with ctx
+	g.Eventually(m.Synced, time.Second).Should(BeTrue())
+	s.set(func(s *script) { s.down = true })
+	g.Eventually(m.Failing, time.Second).Should(BeTrue())
+	s.set(func(s *script) { s.down = false })
+	g.Eventually(m.Failing, 2*time.Second).Should(BeFalse())
+	g.Eventually(interrupted.Load, time.Second).Should(BeEquivalentTo(1))
+}
