--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -19,7 +19,7 @@
 	daemonID string
 	running  func() []copiedRequest
 	// orphans returns the records that are kept for daemons that are gone, and
-	// refuses further ones.
+	// refuses further ones. Daemons that still run copy theirs elsewhere then.
 	orphans func() []*peerv1.RequestRecord
 	// connect returns the next peer that takes records.
 	connect func(ctx context.Context) (recordPeer, error)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,7 +154,7 @@
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, Wait: d.operatorWait, Pause: pollPause, Now: bootclock.Now,
-		OnOutage: d.state.fleet.Interrupt, OnChange: d.state.apply,
+		OnContactChange: d.state.fleet.Interrupt, OnChange: d.state.apply,
 	})
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -102,14 +102,14 @@
 	var best *Instance
 	bestScore := 0.0
 	for _, i := range s.byService[q.Service] {
-		if !s.eligible(i, q) || sample < 1 && i != homes.first && i != homes.second && rand.Float64() >= sample {
+		if !s.eligible(i, q) || sample < 1 && i != homes.takers.first && i != homes.takers.second && rand.Float64() >= sample {
 			continue
 		}
 		score := s.score(i, q)
 		switch i {
-		case homes.first:
+		case homes.takers.first:
 			score -= float64(q.Shared) / sharedUnit
-		case homes.second:
+		case homes.takers.second:
 			score -= float64(q.Shared) / sharedUnit * secondRank
 		}
 		if best == nil || score < bestScore {
@@ -164,18 +164,34 @@
 // promptHomes are the instances that rank first in rendezvous order for a shared
 // prompt. Every daemon with the same view finds the same ones.
 type promptHomes struct {
-	// first and second can take the request.
-	first, second *Instance
+	// takers can take the request.
+	takers topTwo
 	// sources may keep the shared part. Leaving instances are among them: they
 	// were homes until their notice.
-	sources [2]*Instance
+	sources topTwo
+}
+
+// topTwo are the two instances with the highest hashes of those added.
+type topTwo struct {
+	first, second *Instance
+	most, next    uint64
+}
+
+func (t *topTwo) add(i *Instance, hash uint64) {
+	switch {
+	case t.first == nil || hash > t.most:
+		t.second, t.next = t.first, t.most
+		t.first, t.most = i, hash
+	case t.second == nil || hash > t.next:
+		t.second, t.next = i, hash
+	}
 }
 
 // source returns the address from which an instance can get the shared part. An
 // instance that has just become the home gets it from the one before, which
 // ranks next.
 func (h promptHomes) source(picked *Instance) string {
-	for _, i := range h.sources {
+	for _, i := range []*Instance{h.sources.first, h.sources.second} {
 		if i != nil && i != picked && i.Version == picked.Version {
 			return i.Address
 		}
@@ -189,17 +205,16 @@
 	if q.Affinity == "" {
 		return h
 	}
-	var most, next, sourceMost, sourceNext uint64
 	for _, i := range s.byService[q.Service] {
 		if i.weight <= 0 || !s.present(i, q) {
 			continue
 		}
 		hash := rendezvous(q.Affinity, i.ID)
 		if s.keepsPrompts(i) {
-			rank(i, hash, &h.sources[0], &h.sources[1], &sourceMost, &sourceNext)
+			h.sources.add(i, hash)
 		}
 		if !i.Leaving {
-			rank(i, hash, &h.first, &h.second, &most, &next)
+			h.takers.add(i, hash)
 		}
 	}
 	return h
@@ -210,17 +225,6 @@
 	return !i.Leaving || s.clock.Since(i.LeftAt) < i.LeavesIn-sourceMargin
 }
 
-// rank keeps the two instances with the highest hashes.
-func rank(i *Instance, hash uint64, first, second **Instance, most, next *uint64) {
-	switch {
-	case *first == nil || hash > *most:
-		*second, *next = *first, *most
-		*first, *most = i, hash
-	case *second == nil || hash > *next:
-		*second, *next = i, hash
-	}
-}
-
 func rendezvous(key, id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(key))
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -68,10 +68,10 @@
 	// Lenient reports whether the removal of a key is applied late when it may
 	// be a consequence of an outage.
 	Lenient func(key string) bool
-	// OnOutage is called when a call fails, and when the first one after it
+	// OnContactChange is called when a call fails, and when the first one after it
 	// succeeds: polls that were sent in between may never be answered. It must
 	// not block.
-	OnOutage func()
+	OnContactChange func()
 	// OnChange is called for each change in revision order. It must not block.
 	OnChange func(Change)
 }
@@ -182,8 +182,8 @@
 			}
 			m.outage.Store(int64(m.config.Now()))
 			m.failing.Store(true)
-			if m.config.OnOutage != nil {
-				m.config.OnOutage()
+			if m.config.OnContactChange != nil {
+				m.config.OnContactChange()
 			}
 			pause = retry + rand.N(retry)
 			retry = min(retry*2, maxRetry)
@@ -295,8 +295,8 @@
 		return
 	}
 	m.config.Log.Info("dependency regained", "dependency", "store", "revision", m.Revision())
-	if m.config.OnOutage != nil {
-		m.config.OnOutage()
+	if m.config.OnContactChange != nil {
+		m.config.OnContactChange()
 	}
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -230,7 +230,7 @@
 	m = mirror.New(mirror.Config{
 		Store: s, Log: slog.New(slog.DiscardHandler), Prefix: "op/", Wait: func() time.Duration { return 50 * time.Millisecond },
 		Pause: time.Millisecond, Now: bootclock.Now, OnChange: func(mirror.Change) {},
-		OnOutage: func() {
+		OnContactChange: func() {
 			if !m.Failing() {
 				interrupted.Add(1)
 			}
