--- a/pkg/move/cusum.go
+++ b/pkg/move/cusum.go
@@ -26,6 +26,9 @@
 	witnesses map[string]counts
 	// Requests and failures of both versions since the restart.
 	newRequests, newFailures, oldRequests, oldFailures float64
+	// Requests of both versions since the first failed one of the new version
+	// after the restart. Requests before it may have had another share.
+	freshSince, oldSince counts
 }
 
 func newCusum() *cusum {
@@ -41,6 +44,7 @@
 	clear(c.dataCentres)
 	clear(c.witnesses)
 	c.newRequests, c.newFailures, c.oldRequests, c.oldFailures = 0, 0, 0, 0
+	c.freshSince, c.oldSince = counts{}, counts{}
 }
 
 // count adds the requests of an interval.
@@ -53,6 +57,10 @@
 	c.newFailures += fresh.bad
 	c.oldRequests += old.requests
 	c.oldFailures += old.bad
+	if c.newFailures > 0 {
+		c.freshSince.add(fresh)
+		c.oldSince.add(old)
+	}
 }
 
 // record notes who contributed evidence, each failed request with weight.
--- a/pkg/move/move_test.go
+++ b/pkg/move/move_test.go
@@ -162,3 +162,65 @@
 	}
 	return no
 }
+
+// Guards against a version that is taken back because the machines of both
+// versions became slow while few requests of the old version were left.
+func TestCommonSlowdownIsNotBlamedOnTheNewVersion(t *testing.T) {
+	const (
+		trials    = 400
+		share     = 90 // percent of the new version
+		ramped    = 80 // interval of one second from which it has this share
+		calm      = 100
+		slowdown  = 30
+		perDaemon = 2 // requests in an interval
+		daemons   = 7
+	)
+	run := func(r *rand.Rand, judges, perTick int, slow func(calm, fresh bool) float64) bool {
+		j := NewJudge(JudgeConfig{Alarm: 0.003, Judges: judges})
+		j.SetUpstreams(3)
+		for i := range calm + slowdown {
+			planned := float64(share)
+			if i < ramped {
+				planned = 50
+			}
+			var samples []Sample
+			for range perTick {
+				dataCentre := r.IntN(3)
+				s := Sample{New: 100*r.Float64() < planned, Route: "r", DataCentre: fmt.Sprint("dc", dataCentre), Requests: 1}
+				if s.New {
+					s.Upstream = fmt.Sprint("u", dataCentre)
+				}
+				if r.Float64() < slow(i < calm, s.New) {
+					s.Slow = 1
+				}
+				samples = append(samples, s)
+			}
+			j.Add(start.Add(time.Duration(i)*time.Second), planned, samples)
+		}
+		return j.Finding().TakeBack
+	}
+	count := func(judges, perTick int, slow func(calm, fresh bool) float64) int {
+		n := 0
+		for seed := range uint64(trials) {
+			if run(rand.New(rand.NewPCG(seed, 0)), judges, perTick, slow) {
+				n++
+			}
+		}
+		return n
+	}
+	const evaluators = 3
+	for name, c := range map[string]struct{ judges, perTick int }{
+		"one daemon":  {daemons, perDaemon},
+		"all daemons": {evaluators, perDaemon * daemons},
+	} {
+		both := count(c.judges, c.perTick, func(calm, _ bool) float64 { return pick(calm, 0.02, 0.8) })
+		if both > trials/100 {
+			t.Errorf("%s: %d of %d good versions are taken back when both versions become slow, want at most 1%%", name, both, trials)
+		}
+	}
+	// A version that alone becomes slow must still be found.
+	alone := count(evaluators, perDaemon*daemons, func(calm, fresh bool) float64 { return pick(!calm && fresh, 0.9, 0.02) })
+	if alone < trials*9/10 {
+		t.Errorf("%d of %d versions that became slow are taken back within %d s, want nine in ten", alone, trials, slowdown)
+	}
+}
--- a/pkg/move/route.go
+++ b/pkg/move/route.go
@@ -37,6 +37,15 @@
 	// unknownFailures and doesn't judge slow replies that way.
 	minHistory      = 50
 	unknownFailures = 0.1
+	// minContrast is the evidence, as a logarithm, that slow replies must give
+	// against a slowdown that both versions share: by chance it is reached with
+	// a probability of about exp(-5) = 0.7%.
+	minContrast = 5.0
+	// maxUnwitnessed is the number of requests of the new version after which
+	// its slow replies count although the old version got fewer than
+	// minWitnesses requests meanwhile.
+	maxUnwitnessed = 100
+	minWitnesses   = 2
 )
 
 // relativeRisks are the alternatives of the concurrent test: how many times
@@ -72,6 +81,11 @@
 
 type counts struct{ requests, bad float64 }
 
+func (c *counts) add(more counts) {
+	c.requests += more.requests
+	c.bad += more.bad
+}
+
 // recency holds the last requests in a data centre. The share of the new
 // version follows the ramp at once and the difference between the ramp and
 // the requests slowly: measured over recentRequests alone it lagged behind a
@@ -245,6 +259,9 @@
 		if r.instanceFault(test) || r.dataCentreFault(now, test) {
 			continue
 		}
+		if signal == Slow && i == baselineTest && s.sharedSlowdown(test) {
+			continue
+		}
 		name := "old version before"
 		if i < baselineTest {
 			name = "old version at the same time"
@@ -255,6 +272,44 @@
 	return ""
 }
 
+// sharedSlowdown reports whether the replies of the old version in the same
+// time don't rule out that both versions became slow together. An earlier rate
+// can't tell the two apart: slow machines or links make replies of both slow.
+func (s *signalJudge) sharedSlowdown(test *cusum) bool {
+	if s.fullShare() || test.oldSince.requests < minWitnesses && test.freshSince.requests >= maxUnwitnessed {
+		return false
+	}
+	return contrast(test.freshSince, test.oldSince) < minContrast
+}
+
+// fullShare reports whether the ramp leaves no requests to the old version.
+func (s *signalJudge) fullShare() bool {
+	for _, recent := range s.recent {
+		if recent.planned < 1-minPlanned {
+			return false
+		}
+	}
+	return true
+}
+
+// contrast is the logarithm of the likelihood ratio of a rate for each version
+// against one rate for both.
+func contrast(a, b counts) float64 {
+	both := counts{a.requests + b.requests, a.bad + b.bad}
+	return likelihood(a) + likelihood(b) - likelihood(both)
+}
+
+// likelihood is the logarithm of the largest probability of c under any rate.
+func likelihood(c counts) float64 {
+	sum := 0.0
+	for _, n := range [...]float64{c.bad, c.requests - c.bad} {
+		if n > 0 {
+			sum += n * math.Log(n/c.requests)
+		}
+	}
+	return sum
+}
+
 // concentrated reports whether too little evidence remains without the
 // strongest contributor.
 func concentrated(test *cusum, contribution float64) bool {
