--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -24,6 +24,11 @@
 	// patienceShare is the part of the lateness in which a report waits for
 	// daemons that are silent, because a frozen one may wake up.
 	patienceShare = 0.6
+	// handOver is the time in which all daemons have found a new holder and
+	// reported to it: they see it through the store and report every 0.5 s.
+	handOver = 1500 * time.Millisecond
+	// reportMargin is left of the lateness for the plan's write and the call.
+	reportMargin = time.Second
 	// step is the pause between two looks at the clock.
 	step = 200 * time.Millisecond
 	// callTimeout bounds a call; the cloud answers late on its slow days.
@@ -56,7 +61,9 @@
 type Reporter struct {
 	config Config
 
-	token    int64 // for which the plan was read
+	token    int64     // for which the plan was read
+	holder   int64     // token with which the duty was taken
+	since    time.Time // civil time at which it was taken
 	plan     plan
 	revision int64 // of the plan's key
 	pending  bool  // the plan was not acknowledged yet
@@ -90,6 +97,9 @@
 		}
 		r.token = token
 	}
+	if token != r.holder {
+		r.holder, r.since = token, r.config.Civil()
+	}
 	if r.pending {
 		return r.send(ctx, token)
 	}
@@ -123,6 +133,16 @@
 	return time.Duration(r.config.Civil().UnixNano() - (window+1)*int64(r.config.Window))
 }
 
+// patience is how long after a window's end its report waits for daemons that
+// are silent. A new holder knows only what the holder before has written, and
+// waits for the reports of those that find it.
+func (r *Reporter) patience(window int64) time.Duration {
+	patience := time.Duration(float64(r.config.Lateness) * patienceShare)
+	end := time.Unix(0, (window+1)*int64(r.config.Window))
+	found := r.since.Add(handOver).Sub(end)
+	return min(max(patience, found), r.config.Lateness-reportMargin)
+}
+
 func (r *Reporter) late(window int64) bool { return r.sinceEnd(window) > r.config.Lateness }
 
 // advance plans the next window when it has ended.
@@ -137,8 +157,7 @@
 	}
 	end := time.Unix(0, (r.next+1)*int64(r.config.Window))
 	counts, known, complete := r.config.Counts(r.next, end)
-	patience := time.Duration(float64(r.config.Lateness) * patienceShare)
-	if !known || !complete && r.sinceEnd(r.next) < patience {
+	if !known || !complete && r.sinceEnd(r.next) < r.patience(r.next) {
 		return nil
 	}
 	next := plan{Window: r.next, Counts: counts}
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -135,3 +135,37 @@
 	b.run(t, r, 5*time.Second)
 	g.Expect(len(b.ledger.reports)).To(BeNumerically(">=", 3))
 }
+
+// Guards against a usage report with the counts that the holder before had
+// written when the duty changes hands late in the window's time: the daemons
+// haven't reported to the new holder yet.
+func TestNewHolderWaitsForTheDaemonsToFindIt(t *testing.T) {
+	g := NewWithT(t)
+	b, successor := newBench().changeHands(t, 6400*time.Millisecond)
+	b.run(t, successor, 400*time.Millisecond)
+	g.Expect(b.ledger.reports).To(HaveLen(1), "reported before the daemons have found the holder")
+	b.counts, b.complete = map[string]int64{"acme": 9}, true
+	b.run(t, successor, time.Second)
+	g.Expect(b.ledger.reports).To(ContainElement(map[string]int64{"acme": 9}))
+}
+
+// Guards against a usage report that comes too late because its holder waits
+// for daemons that stay silent.
+func TestNewHolderReportsWithinTheLateness(t *testing.T) {
+	g := NewWithT(t)
+	b, successor := newBench().changeHands(t, 8400*time.Millisecond)
+	b.run(t, successor, time.Second)
+	g.Expect(b.ledger.reports).To(HaveLen(2))
+}
+
+// changeHands has one holder report the first window. Its successor takes the
+// duty some time after the end of the second one, and no daemon has found it.
+func (b *bench) changeHands(t *testing.T, after time.Duration) (*bench, *metering.Reporter) {
+	const untilReport = 6400 * time.Millisecond
+	first := int64(1)
+	b.run(t, b.reporter(&first), untilReport)
+	b.complete = false
+	b.clock.Advance(10*time.Second - untilReport + after)
+	successor := int64(2)
+	return b, b.reporter(&successor)
+}
