--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,10 @@
 	// the 2 s in which a configuration applies and a leaving instance gets no work.
 	pollPause  = 200 * time.Millisecond
 	fleetPause = 400 * time.Millisecond
+	// soloPause takes the place of fleetPause at a daemon that follows by itself.
+	// It has no others to tell, and all of them together make its calls: a wave
+	// of reclaims ends each poll at once.
+	soloPause = 800 * time.Millisecond
 	// fleetWait is the longest wait of the poll for instances and daemons. A
 	// failure of the other poll ends it early.
 	fleetWait = 8 * time.Second
@@ -149,11 +153,11 @@
 func (d *Daemon) buildMirrors() {
 	operator, fleetPrefix := d.platform.Reader.Prefixes()
 	d.state.fleet = mirror.New(mirror.Config{
-		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, Wait: func() time.Duration { return fleetWait }, Pause: fleetPause, Now: bootclock.Now,
+		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, Wait: func() time.Duration { return fleetWait }, Pause: d.fleetPause, Now: bootclock.Now,
 		Lenient: d.state.lenient, OnChange: d.state.apply,
 	})
 	d.state.operator = mirror.New(mirror.Config{
-		Store: d.platform.Store, Log: d.log, Prefix: operator, Wait: d.operatorWait, Pause: pollPause, Now: bootclock.Now,
+		Store: d.platform.Store, Log: d.log, Prefix: operator, Wait: d.operatorWait, Pause: func() time.Duration { return pollPause }, Now: bootclock.Now,
 		OnContactChange: d.state.fleet.Interrupt, OnChange: d.state.apply,
 	})
 }
@@ -167,6 +171,14 @@
 	return pollWait
 }
 
+// fleetPause returns the wait between two polls for instances and daemons.
+func (d *Daemon) fleetPause() time.Duration {
+	if d.holder.Valid() {
+		return fleetPause
+	}
+	return soloPause
+}
+
 func (d *Daemon) buildCoordination() {
 	s := d.settings
 	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -21,7 +21,10 @@
 	memberTTL = 5 * time.Second
 	// memberRenew leaves room for two failed renewals.
 	memberRenew = 1500 * time.Millisecond
-	memberRetry = 300 * time.Millisecond
+	// memberRetry is the wait after the first failure; it doubles up to
+	// memberRetryMost, since a store that turns machines away charges each call.
+	memberRetry     = 300 * time.Millisecond
+	memberRetryMost = 1200 * time.Millisecond
 	// memberCall bounds a call to the store.
 	memberCall = time.Second
 )
@@ -130,11 +133,15 @@
 
 // run announces the daemon until ctx ends, and then withdraws it.
 func (m *members) run(ctx context.Context) error {
+	retry := memberRetry
 	for ctx.Err() == nil {
 		wait := memberRenew + rand.N(memberRenew/8)
 		if err := m.keep(ctx); err != nil {
 			m.log.Warn("daemon not announced", "error", err)
-			wait = memberRetry + rand.N(memberRetry)
+			wait = retry + rand.N(retry)/2
+			retry = min(retry*2, memberRetryMost)
+		} else {
+			retry = memberRetry
 		}
 		duty.Sleep(ctx, wait)
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -61,8 +61,8 @@
 	// Wait returns the longest wait of a poll. A proof is at most that old while
 	// the store answers.
 	Wait func() time.Duration
-	// Pause is the wait between two polls, so that a burst of changes costs few calls.
-	Pause time.Duration
+	// Pause returns the wait between two polls, so that a burst of changes costs few calls.
+	Pause func() time.Duration
 	// Now returns the time since some fixed moment, counting suspensions.
 	Now func() time.Duration
 	// Lenient reports whether the removal of a key is applied late when it may
@@ -174,7 +174,7 @@
 				err = nil
 			}
 		}
-		pause := m.config.Pause
+		pause := m.config.Pause()
 		if err != nil && ctx.Err() == nil {
 			if m.outage.Load() <= m.proof.Load() {
 				m.config.Log.Warn("dependency lost", "dependency", "store", "prefix", m.config.Prefix, "error", err)
@@ -231,7 +231,7 @@
 func (m *Mirror) poll(ctx context.Context) error {
 	wait := m.config.Wait()
 	if due, pending := m.nextRemoval(); pending {
-		wait = min(wait, max(due-m.config.Now(), m.config.Pause))
+		wait = min(wait, max(due-m.config.Now(), m.config.Pause()))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -82,7 +82,7 @@
 func follow(t *testing.T, s *script) *mirror.Mirror {
 	t.Helper()
 	m := mirror.New(mirror.Config{
-		Store: s, Log: slog.New(slog.DiscardHandler), Wait: func() time.Duration { return 100 * time.Millisecond }, Pause: 5 * time.Millisecond,
+		Store: s, Log: slog.New(slog.DiscardHandler), Wait: func() time.Duration { return 100 * time.Millisecond }, Pause: func() time.Duration { return 5 * time.Millisecond },
 		Now: bootclock.Now, Lenient: func(string) bool { return true }, OnChange: func(mirror.Change) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -229,7 +229,7 @@
 	var m *mirror.Mirror
 	m = mirror.New(mirror.Config{
 		Store: s, Log: slog.New(slog.DiscardHandler), Prefix: "op/", Wait: func() time.Duration { return 50 * time.Millisecond },
-		Pause: time.Millisecond, Now: bootclock.Now, OnChange: func(mirror.Change) {},
+		Pause: func() time.Duration { return time.Millisecond }, Now: bootclock.Now, OnChange: func(mirror.Change) {},
 		OnContactChange: func() {
 			if !m.Failing() {
 				interrupted.Add(1)
--- a/internal/scaling/demand.go
+++ b/internal/scaling/demand.go
@@ -3,6 +3,7 @@
 package scaling
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -10,6 +11,8 @@
 const (
 	// demandWindow is the time over which the offered work is averaged.
 	demandWindow = 5 * time.Second
+	// leastSeen bounds what a few first requests count for.
+	leastSeen = time.Second
 	// sampleDecay is the weight that older samples keep with each new one.
 	sampleDecay = 0.995
 	// minSamples is the number of samples from which on the fit is used.
@@ -34,6 +37,7 @@
 	now func() time.Duration
 
 	mu       sync.Mutex
+	began    time.Duration // time of the first request; 0 if there was none
 	services map[string]*offered
 }
 
@@ -62,6 +66,9 @@
 func (e *Estimator) Offered(service string, prompt, shared int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.began == 0 {
+		e.began = e.now()
+	}
 	o := e.of(service)
 	o.decay(e.now())
 	o.tokens += Work(prompt, shared) / demandWindow.Seconds()
@@ -88,11 +95,18 @@
 	busy := map[string]float64{}
 	for service, o := range e.services {
 		o.decay(e.now())
-		busy[service] = o.tokens * o.fit.perToken().Seconds()
+		busy[service] = o.tokens / e.filled() * o.fit.perToken().Seconds()
 	}
 	return busy
 }
 
+// filled returns the part of the average's final level that a constant demand
+// has reached since the first request.
+func (e *Estimator) filled() float64 {
+	seen := max(e.now()-e.began, leastSeen)
+	return 1 - math.Exp(-seen.Seconds()/demandWindow.Seconds())
+}
+
 // fit is a least-squares line of latency over tokens, with older samples fading.
 type fit struct {
 	n, x, y, xx, xy float64
--- a/internal/scaling/duty.go
+++ b/internal/scaling/duty.go
@@ -26,6 +26,9 @@
 	reclaimedTime = 6 * time.Second
 	// shrinkAfter is how long a surplus must last before instances are given back.
 	shrinkAfter = 4 * time.Second
+	// idleShrinkAfter is the same before the first request: nothing runs on the
+	// instances, and their replacements serve already. Two decisions must agree.
+	idleShrinkAfter = 2 * step
 	// settleTime is how long instances that stood at the start take to be listed.
 	settleTime = 3 * time.Second
 	// learnTime is how long the demand is watched before instances that stood
@@ -66,9 +69,10 @@
 // serviceState is what the duty knows of one service.
 type serviceState struct {
 	places   map[Place]*placeState
-	settled  time.Duration // from when on instances that stood at the start are listed
+	settled  time.Duration // from when on instances are listed and daemons have reported demand
 	started  int           // instances that stood before any was ordered
 	loaded   time.Duration // demand was first seen; 0 if not yet
+	learning bool          // the demand isn't known yet
 	lostAt   time.Duration // an order got no answer; 0 if none did
 	repeated time.Duration
 	dryUntil time.Duration // no reclaimable instances are ordered before
@@ -135,17 +139,17 @@
 	if s.loaded == 0 && busy > 0 {
 		s.loaded = now
 	}
-	learning := s.loaded == 0 || now-s.loaded < learnTime
-	s.observe(counts, learning, now)
+	s.learning = s.loaded == 0 || now-s.loaded < learnTime
+	s.observe(counts, now)
 	plan := Plan(d.config.Policy, Situation{
-		Scaling: service.Scaling, Need: d.need(s, busy, learning), Ready: readyReclaimable(counts),
+		Scaling: service.Scaling, Need: d.need(s, busy), Ready: readyReclaimable(counts),
 		Ordered: s.ordered(true), Kept: s.ordered(false), Dry: now < s.dryUntil,
 	})
 	repeat := s.mustRepeat(now)
 	for _, centre := range byPrice(service.Scaling.Prices) {
 		for _, reclaimable := range []bool{false, true} {
 			place := Place{centre, reclaimable}
-			if s.due(place, plan[place], counts[place], learning, repeat, now, service.Scaling.BootTime) {
+			if s.due(place, plan[place], counts[place], repeat, now, service.Scaling.BootTime) {
 				d.order(ctx, token, service.Name, place, plan[place], s, busy)
 			}
 		}
@@ -154,9 +158,9 @@
 
 // need returns the number of instances for the load. Before the load is known,
 // it is what the operators started with.
-func (d *Duty) need(s *serviceState, busy float64, learning bool) int {
+func (d *Duty) need(s *serviceState, busy float64) int {
 	need := d.config.Policy.Need(busy)
-	if learning {
+	if s.learning {
 		return max(need, s.started)
 	}
 	return need
@@ -181,11 +185,11 @@
 
 // observe takes over what stands: instances that were started by others while
 // no number was ordered, and those that the cloud takes away.
-func (s *serviceState) observe(counts map[Place]count, learning bool, now time.Duration) {
+func (s *serviceState) observe(counts map[Place]count, now time.Duration) {
 	started := 0
 	for place, p := range s.places {
 		c := counts[place]
-		if learning && !p.known {
+		if s.learning && !p.known {
 			p.ordered = max(p.ordered, c.ready)
 		}
 		if !place.Reclaimable {
@@ -196,7 +200,7 @@
 			p.ordered = 0
 		}
 	}
-	if learning {
+	if s.learning {
 		s.started = max(s.started, started)
 	}
 }
@@ -237,12 +241,12 @@
 }
 
 // due reports whether the number of a place is to be ordered now.
-func (s *serviceState) due(place Place, wanted int, stands count, learning, repeat bool, now, boot time.Duration) bool {
+func (s *serviceState) due(place Place, wanted int, stands count, repeat bool, now, boot time.Duration) bool {
 	p := s.places[place]
 	if place.Reclaimable && now < s.dryUntil {
 		return false
 	}
-	if learning && !place.Reclaimable && (now < s.settled || wanted > p.ordered) {
+	if s.learning && !place.Reclaimable && (now < s.settled || wanted > p.ordered) {
 		return false
 	}
 	if wanted >= p.ordered {
@@ -254,13 +258,26 @@
 	case wanted > p.ordered:
 		return true
 	case wanted < p.ordered:
-		return now-p.surplus >= shrinkAfter
-	case !p.known && !learning, repeat && p.known:
+		return s.lasting(p.surplus, now)
+	case !p.known && !s.learning, repeat && p.known:
 		return true
 	}
 	return p.known && stands.ready < p.ordered && now-p.orderAt > boot+driftMargin
 }
 
+// lasting reports whether a surplus that was first seen at since has lasted
+// long enough. Right after the load has begun, the time in which the demand was
+// watched counts: the instances that stood at the start hid the surplus.
+func (s *serviceState) lasting(since, now time.Duration) bool {
+	switch {
+	case s.loaded == 0 && now >= s.settled:
+		return now-since >= idleShrinkAfter
+	case !s.learning && since-s.loaded < learnTime+2*step:
+		return now-s.loaded >= shrinkAfter
+	}
+	return now-since >= shrinkAfter
+}
+
 func (d *Duty) order(ctx context.Context, token int64, service string, place Place, wanted int, s *serviceState, busy float64) {
 	if d.config.Token() != token {
 		return
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -193,14 +194,19 @@
 	})
 }
 
-// start lets a day begin with 18 instances and a load.
-func (f *fleetSim) start(t *testing.T, busy *float64) *scaling.Duty {
+// startIdle lets a day begin with 18 instances.
+func (f *fleetSim) startIdle(busy *float64) *scaling.Duty {
 	for _, c := range []string{"a", "b", "c"} {
 		for range 6 {
 			f.add(scaling.Place{DataCentre: c})
 		}
 	}
-	d := f.duty(busy)
+	return f.duty(busy)
+}
+
+// start lets a day begin with 18 instances and a load.
+func (f *fleetSim) start(t *testing.T, busy *float64) *scaling.Duty {
+	d := f.startIdle(busy)
 	for range 40 {
 		f.step(d, t)
 	}
@@ -279,3 +285,79 @@
 	}
 	g.Expect(f.orders-before).To(BeNumerically(">=", 12), "all places are ordered again every 3 s")
 }
+
+// Guards against paying for instances that aren't reclaimable for seconds after
+// their replacements serve, while no request has come yet.
+func TestIdleInstancesAreReplacedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleetSim()
+	busy := 0.0
+	d := f.startIdle(&busy)
+	const boots = 18 // rounds of 250 ms: one decision and the boot time
+	for range boots + 6 {
+		f.step(d, t)
+	}
+	floor := int(math.Ceil(scaling.DefaultPolicy().FloorShare * 18))
+	g.Expect(f.total(false)).To(BeNumerically("<=", floor+1))
+	g.Expect(f.total(false) + f.total(true)).To(BeNumerically(">=", 18))
+}
+
+// Guards against a new coordinator that takes the time until the daemons report
+// to it for a time without load.
+func TestNewCoordinatorKeepsTheFleetUntilItKnowsTheDemand(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleetSim()
+	var busy float64
+	f.start(t, &busy)
+	others, reclaimable := f.total(false), f.total(true)
+	unknown := 0.0
+	successor := f.duty(&unknown)
+	for range 8 { // 2 s
+		f.step(successor, t)
+	}
+	unknown = busy
+	for range 40 {
+		f.step(successor, t)
+		g.Expect(f.total(false)).To(BeNumerically(">=", others-1))
+		g.Expect(f.total(true)).To(BeNumerically(">=", reclaimable-3))
+	}
+}
+
+// Guards against a fleet that stays at its size at the start for longer than
+// the demand must be watched.
+func TestFirstShrinkFollowsTheLoad(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleetSim()
+	busy := 0.0
+	d := f.startIdle(&busy)
+	for range 40 {
+		f.step(d, t)
+	}
+	before := f.total(false) + f.total(true)
+	busy = 2
+	for range 10 { // 2.5 s
+		f.step(d, t)
+	}
+	g.Expect(f.total(false)+f.total(true)).To(BeNumerically(">=", before), "the demand isn't known yet")
+	for range 8 {
+		f.step(d, t)
+	}
+	need := scaling.DefaultPolicy().Need(busy)
+	g.Expect(f.total(false) + f.total(true)).To(BeNumerically("<=", 2*need))
+	g.Expect(f.total(false) + f.total(true)).To(BeNumerically(">=", need))
+}
+
+// Guards against a demand that is told too low in the first seconds, so that
+// too few instances are kept, or all of them until the average has settled.
+func TestDemandIsKnownSoonAfterTheStart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Hour
+	e := scaling.NewEstimator(func() time.Duration { return now })
+	const rate, prompt = 20, 10_000
+	for range 2 * rate {
+		now += time.Second / rate
+		e.Offered("s", prompt, 0)
+	}
+	want := rate * prompt * 12e-6 // 12 us a token until it is measured
+	g.Expect(e.Busy()["s"]).To(BeNumerically("~", want, 0.15*want))
+}
