--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,7 @@
 	Audit    auditCmd    `cmd:"" help:"Show the audit trail, newest first."`
 	Status   statusCmd   `cmd:"" help:"Show the state of a daemon, its peers and upstreams."`
 	Drain    drainCmd    `cmd:"" help:"Drain a daemon or an upstream."`
+	Explain  explainCmd  `cmd:"" help:"Find the cause of a request's outcome in the logs of the daemons."`
 	Charts   chartsCmd   `cmd:"" help:"Print the statecharts as DOT graphs."`
 	Where    whereCmd    `cmd:"" help:"Ask which daemon addresses to use."`
 	Chat     chatCmd     `cmd:"" help:"Send a chat completion request and print the answer."`
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,60 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/explain"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
+)
+
+func read(g *WithT, source, log string) []explain.Line {
+	lines, _, err := explain.Read(strings.NewReader(log), source)
+	g.Expect(err).NotTo(HaveOccurred())
+	return lines
+}
+
+// Guards against a refusal without a coordinator being told as an account that
+// was over its quota.
+func TestQuotaRefusedWithoutCoordinator(t *testing.T) {
+	g := NewWithT(t)
+	refused := `time=2026-12-04T10:00:05.000Z level=INFO msg="request finished" request=r1 account=acme instance="" attempts=0 status=429 code=1200 ran=false duration_ms=1 outcome="the account is over its quota"
+`
+	lost := `time=2026-12-04T10:00:03.000Z level=WARN msg="dependency lost" dependency=coordinator reason="no coordinator is known"
+`
+	report, err := explain.Explain(read(g, "edge-1", lost+refused), "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Code).To(Equal(result.AccountLimit))
+	g.Expect(report.Cause).To(ContainSubstring("could not be shared"))
+	g.Expect(report.Cause).To(ContainSubstring("no coordinator is known"))
+
+	report, err = explain.Explain(append(read(g, "edge-2", lost), read(g, "edge-1", refused)...), "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Cause).To(ContainSubstring("over its quota"), "another daemon lost it")
+}
+
+// Guards against a log that isn't read to its end because of a crash in it, and
+// against a killed daemon's request being told as served.
+func TestRequestOfAKilledDaemon(t *testing.T) {
+	g := NewWithT(t)
+	log := `time=2026-12-04T10:00:05.000Z level=INFO msg="attempt failed" request=r2 instance=i-1 end=lost reason="read reply: EOF" load=4
+goroutine 7 [running]: x="unterminated
+time=2026-12-04T10:00:06.000Z level=INFO msg="daemon started" name=edge-1
+`
+	lines, skipped, err := explain.Read(strings.NewReader(log), "edge-1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(skipped).To(Equal(1))
+	report, err := explain.Explain(lines, "r2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Cause).To(ContainSubstring("killed"))
+	g.Expect(report.Related).To(HaveLen(1))
+}
+
+// Guards against an answer made up for a request that no log names.
+func TestUnknownRequest(t *testing.T) {
+	g := NewWithT(t)
+	_, err := explain.Explain(nil, "r3")
+	g.Expect(err).To(MatchError(explain.ErrUnknown))
+}
--- /dev/null
+++ b/internal/explain/lines.go
@@ -0,0 +1,92 @@
+// Package explain finds the cause of a request's outcome in the log lines of the
+// daemons that it reached.
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/pkg/errors"
+)
+
+// Line is one structured log line.
+type Line struct {
+	Time    time.Time
+	Source  string // name of the log it stands in
+	Message string
+	Fields  map[string]string
+}
+
+// String formats the line for a reader: time, source, message and fields.
+func (l Line) String() string {
+	var b strings.Builder
+	b.WriteString(l.Time.Format("15:04:05.000") + " " + l.Source + " " + l.Message)
+	for _, key := range sortedKeys(l.Fields) {
+		b.WriteString(" " + key + "=" + l.Fields[key])
+	}
+	return b.String()
+}
+
+func sortedKeys(fields map[string]string) []string {
+	keys := make([]string, 0, len(fields))
+	for key := range fields {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// maxLineBytes bounds a line; a crash may write longer ones.
+const maxLineBytes = 1 << 20
+
+// Read decodes a log of key=value lines. skipped is the number of lines that
+// carry no time or message, such as the output of a crash.
+func Read(r io.Reader, source string) (lines []Line, skipped int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, ok := decode(scanner.Text())
+		if !ok {
+			skipped++
+			continue
+		}
+		line.Source = source
+		lines = append(lines, line)
+	}
+	return lines, skipped, errors.Wrapf(scanner.Err(), "read log of %s", source)
+}
+
+// decode returns false for a line that isn't a log line.
+func decode(text string) (Line, bool) {
+	line := Line{Fields: map[string]string{}}
+	decoder := logfmt.NewDecoder(strings.NewReader(text))
+	for decoder.ScanRecord() {
+		for decoder.ScanKeyval() {
+			key, value := string(decoder.Key()), string(decoder.Value())
+			switch key {
+			case "time":
+				at, err := time.Parse(time.RFC3339Nano, value)
+				if err != nil {
+					return line, false
+				}
+				line.Time = at
+			case "msg":
+				line.Message = value
+			case "level":
+			default:
+				line.Fields[key] = value
+			}
+		}
+	}
+	return line, decoder.Err() == nil && !line.Time.IsZero() && line.Message != ""
+}
+
+// sortLines orders lines by time. The clocks of daemons may differ.
+func sortLines(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Source, b.Source)) })
+}
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -54,8 +54,12 @@
 	servers []*http.Server
 	version int64
 	keys    map[string]string // key by account
+	rates   map[string]int    // quota of an account a second, if not usualRate
 }
 
+// usualRate is the quota of an account in tokens a second; a request costs one.
+const usualRate = 5000
+
 var zones = []string{"a", "b", "c"}
 
 // newCluster starts everything. base is a loopback prefix that nobody else uses.
@@ -119,8 +123,12 @@
 		services = append(services, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 200})
 	}
 	for account, key := range c.keys {
+		rate := usualRate
+		if limit, limited := c.rates[account]; limited {
+			rate = limit
+		}
 		tenants = append(tenants, map[string]any{
-			"name": account, "apiKeys": []string{key}, "unit": "tokens", "uncachedTokens": 1, "ratePerS": 5000, "burst": 5000,
+			"name": account, "apiKeys": []string{key}, "unit": "tokens", "uncachedTokens": 1, "ratePerS": rate, "burst": rate,
 		})
 	}
 	value, err := json.Marshal(map[string]any{
@@ -137,6 +145,12 @@
 	c.store.Put("op/config", value)
 }
 
+// limit changes the quota of an account.
+func (c *cluster) limit(account string, rate int) {
+	c.rates = map[string]int{account: rate}
+	c.putConfig()
+}
+
 // startWorker starts a worker and announces it.
 func (c *cluster) startWorker(service string, i int) error {
 	events := 0
--- /dev/null
+++ b/test/soak/explain_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
+)
+
+// buildPrograms builds rudderd and rudderctl and returns their paths.
+func buildPrograms(t *testing.T) (daemon, control string) {
+	t.Helper()
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "github.com/dogwoodrudder/dogwoodrudder/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return filepath.Join(dir, "rudderd"), filepath.Join(dir, "rudderctl")
+}
+
+// explainer asks rudderctl for the cause of a request.
+type explainer struct {
+	t       *testing.T
+	control string
+	cluster *cluster
+}
+
+// explain runs `rudderctl explain` over all logs until it finds the request.
+func (e explainer) explain(id string) string {
+	e.t.Helper()
+	logs, err := filepath.Glob(filepath.Join(e.cluster.dir, "*.log"))
+	if err != nil || len(logs) == 0 {
+		e.t.Fatalf("no logs: %v", err)
+	}
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		out, err := exec.Command(e.control, append([]string{"explain", id}, logs...)...).CombinedOutput()
+		if err == nil && strings.Contains(string(out), "request finished") {
+			return string(out)
+		}
+		if time.Now().After(until) {
+			e.t.Fatalf("explain %s: %v\n%s", id, err, out)
+		}
+	}
+}
+
+// metrics returns the metrics of the first daemon.
+func (e explainer) metrics() string {
+	e.t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", e.cluster.daemons[0].ip, portMetrics))
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var b strings.Builder
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := resp.Body.Read(buffer)
+		b.Write(buffer[:n])
+		if err != nil {
+			return b.String()
+		}
+	}
+}
+
+// send sends one request to the first daemon.
+func (e explainer) send(kind, account, id string) outcome {
+	o := outcome{id: id, kind: kind, account: account, daemon: fmt.Sprintf("%s:%d", e.cluster.daemons[0].ip, portCallers)}
+	callers := &clients{cluster: e.cluster}
+	callers.send(context.Background(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, &o)
+	return o
+}
+
+func (e explainer) misbehave(service string, b worker.Behaviour) {
+	for _, w := range e.cluster.workers {
+		if w.Service == service {
+			w.Set(b)
+		}
+	}
+}
+
+func (e explainer) want(text string, parts ...string) {
+	e.t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			e.t.Errorf("%q is not in:\n%s", part, text)
+		}
+	}
+}
+
+// Guards against a failure whose cause can't be found from the request's ID with
+// logs and metrics alone: a refusal for quota, a broken stream and an unknown
+// outcome of a request that must not be repeated.
+func TestCauseIsFoundFromTheRequestID(t *testing.T) {
+	daemon, control := buildPrograms(t)
+	base := fmt.Sprintf("127.%d.251", 64+os.Getpid()%64)
+	c, err := newCluster(daemon, t.TempDir(), base, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.stop()
+	if err := awaitReady(c); err != nil {
+		t.Fatal(err)
+	}
+	e := explainer{t, control, c}
+
+	e.misbehave("reports", worker.Behaviour{CutAfter: 3, EventGap: time.Millisecond})
+	if o := e.send("reports", "acme", "broken-1"); o.err == nil {
+		t.Fatalf("the stream isn't cut: %+v", o)
+	}
+	e.want(e.explain("broken-1"), "code: 1304", "The instance failed the request", "ended as broken", "stream broke")
+	e.want(e.metrics(), `rudder_relay_attempts_failed_total{end="broken"} 1`)
+
+	e.misbehave("orders", worker.Behaviour{LoseAnswer: true})
+	if o := e.send("orders", "acme", "unknown-1"); o.status != http.StatusBadGateway {
+		t.Fatalf("%+v", o)
+	}
+	e.want(e.explain("unknown-1"), "code: 1403", "may have run", "ended as lost", "Ask the application")
+	e.want(e.metrics(), `rudder_relay_requests_total{semantics="non_idempotent",status="502",code="1403"} 1`)
+
+	time.Sleep(3 * time.Second) // a new coordinator grants less at first, which is another cause
+	c.limit("bolt", 1)
+	refused := ""
+	for i := 0; i < 100 && refused == ""; i++ {
+		if o := e.send("lookups", "bolt", fmt.Sprintf("quota-%d", i)); o.status == http.StatusTooManyRequests {
+			refused = o.id
+		}
+	}
+	e.want(e.explain(refused), "code: 1200", "Account bolt was over its quota")
+	e.want(e.metrics(), `status="429",code="1200"`)
+}
