--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	// reportInterval is the time between two reports. A daemon that dies loses
-	// the usage counts since its last report.
+	// reportInterval is the least time between two reports. A daemon that dies
+	// loses the usage counts since its last report.
 	reportInterval = 125 * time.Millisecond
-	// reportSpacing is the least time between the reports of two daemons, on
-	// average: 150 reports a second take about 2% of a core.
-	reportSpacing = 6500 * time.Microsecond
+	// reportsPerSecond is the aim for the reports of all daemons together: 150
+	// a second take about 2% of a core.
+	reportsPerSecond = 150.0
 	// reportLongest keeps shares, loads and leaving instances current.
 	reportLongest = 500 * time.Millisecond
 	// reportTimeout bounds a report; it is far above a round trip between data centres.
@@ -66,7 +66,7 @@
 
 // AgentConfig holds the parameters of an Agent.
 type AgentConfig struct {
-	Daemon      string // name and incarnation
+	Daemon      string // DaemonID
 	Log         *slog.Logger
 	Link        Link
 	Instances   *fleet.Set
@@ -104,6 +104,8 @@
 	pooled   time.Duration // of the last answer of a deputy
 	linked   bool
 	reported time.Duration // of the latest report
+	// rate and fleetRate are the requests a second that reach this daemon and all.
+	rate, fleetRate float64
 }
 
 // credit is the quota of one account that the daemon may use.
@@ -141,10 +143,18 @@
 	return ctx.Err()
 }
 
-// interval returns the time until the next report. It grows with the number of
-// daemons, so that the coordinator's load doesn't.
+// interval returns the time until the next report. Half of all reports are
+// shared equally and half by the requests that reach a daemon: in a fleet of
+// unequal machines few of them carry most of the usage, load and quota.
 func (a *Agent) interval() time.Duration {
-	return min(max(reportInterval, time.Duration(a.config.Daemons())*reportSpacing), reportLongest)
+	share := 1 / float64(max(a.config.Daemons(), 1))
+	a.mu.Lock()
+	if a.fleetRate > 0 {
+		share = (share + min(a.rate/a.fleetRate, 1)) / 2
+	}
+	a.mu.Unlock()
+	interval := time.Duration(float64(time.Second) / (reportsPerSecond * share))
+	return min(max(interval, reportInterval), reportLongest)
 }
 
 // Report makes one report and tells whether the coordinator took it. Run calls
@@ -247,6 +257,9 @@
 	}
 	request.Services = a.config.Demand()
 	request.RequestsPerSecond = a.config.Rate()
+	a.mu.Lock()
+	a.rate = request.RequestsPerSecond
+	a.mu.Unlock()
 	request.Evidence = a.config.Evidence()
 	request.Fleet = a.config.Cursor()
 	return request
@@ -255,6 +268,7 @@
 func (a *Agent) accept(response *coordinatorv1.ReportResponse, sent time.Duration) {
 	a.mu.Lock()
 	a.contact = a.config.Now()
+	a.fleetRate = response.RequestsPerSecond
 	if !a.linked {
 		a.linked = true
 		a.config.Log.Info("dependency regained", "dependency", "coordinator", "token", response.Token)
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,7 +34,7 @@
 	Now   func() time.Duration // suspensions included
 	// Daemons returns the number of live daemons.
 	Daemons func() int
-	// Members returns the names of the announced daemons, as in their reports.
+	// Members returns the DaemonID of each announced daemon.
 	Members func() []string
 	Civil   func() time.Time
 	// Complete adds what the coordinator's mirrors have beyond the daemon's.
@@ -66,6 +68,35 @@
 	filled time.Duration
 }
 
+// DaemonID names one incarnation of a daemon in its reports.
+func DaemonID(name string, incarnation int64) string {
+	return name + "/" + strconv.FormatInt(incarnation, 10)
+}
+
+// successors returns the incarnation of each announced daemon by name.
+func successors(members []string) map[string]int64 {
+	newest := make(map[string]int64, len(members))
+	for _, id := range members {
+		if name, incarnation, ok := parseDaemonID(id); ok {
+			newest[name] = incarnation
+		}
+	}
+	return newest
+}
+
+func parseDaemonID(id string) (name string, incarnation int64, ok bool) {
+	name, text, _ := strings.Cut(id, "/")
+	incarnation, err := strconv.ParseInt(text, 10, 64)
+	return name, incarnation, err == nil
+}
+
+// superseded reports whether a later incarnation of the daemon is announced, so
+// that no further report can come.
+func superseded(id string, newest map[string]int64) bool {
+	name, incarnation, ok := parseDaemonID(id)
+	return ok && newest[name] > incarnation
+}
+
 // daemonReport is the latest report of a daemon.
 type daemonReport struct {
 	sequence int64
@@ -234,7 +265,7 @@
 
 // Counts returns the usage of a window by account, summed over all daemons.
 // known is false until the counts of the holder before are restored; complete
-// tells that every daemon has reported since the window's end.
+// tells that every daemon that still can has reported since the window's end.
 func (c *Coordinator) Counts(window int64, end time.Time) (total map[string]int64, known, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,16 +274,18 @@
 	}
 	total = map[string]int64{}
 	complete = true
-	for _, report := range c.reports {
+	members := c.config.Members()
+	newest := successors(members)
+	for id, report := range c.reports {
 		for account, count := range report.windows[window] {
 			total[account] += count
 		}
 		counted := report.windows[window] != nil || report.windows[window-1] != nil
-		if counted && report.heard.Before(end) {
+		if counted && report.heard.Before(end) && !superseded(id, newest) {
 			complete = false
 		}
 	}
-	for _, name := range c.config.Members() {
+	for _, name := range members {
 		if report := c.reports[name]; report == nil || report.heard.Before(end) {
 			complete = false
 		}
--- a/internal/coordination/counts.go
+++ b/internal/coordination/counts.go
@@ -16,9 +16,9 @@
 
 const (
 	// keepInterval is the time between two writes of the counts: the usage that
-	// is lost when all machines lose power. A twentieth of a metering window
-	// may be lost.
-	keepInterval = 250 * time.Millisecond
+	// is lost when all machines lose power, beside what daemons have not reported.
+	// A twentieth of a metering window of 5 s may be lost.
+	keepInterval = 200 * time.Millisecond
 	// keepTimeout bounds a call to the store.
 	keepTimeout = 800 * time.Millisecond
 	// storedWindows is the number of windows that are written.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -237,7 +236,7 @@
 }
 
 // reportName identifies one incarnation of a daemon in its reports.
-func reportName(m member) string { return m.Name + "/" + strconv.FormatInt(m.Incarnation, 10) }
+func reportName(m member) string { return coordination.DaemonID(m.Name, m.Incarnation) }
 
 // acceptReport takes over what the coordinator says about the other daemons.
 func (d *Daemon) acceptReport(r *coordinatorv1.ReportResponse, sent time.Duration) {
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -22,8 +22,9 @@
 	// reports arrive: several report intervals.
 	settle = 900 * time.Millisecond
 	// patienceShare is the part of the lateness in which a report waits for
-	// daemons that are silent, because a frozen one may wake up.
-	patienceShare = 0.6
+	// daemons that are silent, because a frozen one may wake up and a cut may
+	// end. What is left suffices for the plan's write and the call with retries.
+	patienceShare = 0.8
 	// handOver is the time in which all daemons have found a new holder and
 	// reported to it: they see it through the store and report every 0.5 s.
 	handOver = 1500 * time.Millisecond
