--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -151,6 +151,11 @@
 // tick lets 125 ms pass, in which each daemon reports.
 func (f *fleetOf) tick(t *testing.T) {
 	f.clock.Advance(125 * time.Millisecond)
+	f.report(t)
+}
+
+// report has each daemon report, and the counts written.
+func (f *fleetOf) report(t *testing.T) {
 	for i, agent := range f.agents {
 		agent.Report(t.Context())
 		if err := f.keepers[i].Step(t.Context()); err != nil {
@@ -275,6 +280,50 @@
 	g.Expect(granted / asked).To(BeNumerically(">", 0.97))
 }
 
+// Pattern hot_tenant of rcb-compra-grown: an account asks for three times its
+// quota, in long prompts, quick questions and payout orders of 200 tokens. Guards
+// against payout orders, which need a fiftieth of the quota, being refused as
+// often as the long prompts that use it up, and against prompts larger than the
+// burst that never pass.
+func TestShortRequestsOfAnAccountOverItsQuota(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(7)
+	f.appoint(0, 1)
+	random := rand.New(rand.NewPCG(4, 2))
+	kinds := []struct{ cost, share float64 }{{200, 0.02}, {2400, 0.98}, {12_400, 2}}
+	const long = 2
+	asked, granted := make([]float64, len(kinds)), make([]float64, len(kinds))
+	tokens := 0.0
+	const steps, perSecond, reportEvery = 8000, 80.0, 10
+	for step := range steps {
+		f.clock.Advance(time.Second / perSecond)
+		for _, kind := range random.Perm(len(kinds)) {
+			k := kinds[kind]
+			for n := k.share * rate / perSecond / k.cost; n > 0; n-- {
+				if random.Float64() > n {
+					continue
+				}
+				asked[kind]++
+				if ok, _ := f.agents[random.IntN(7)].Take(t.Context(), account, k.cost); ok {
+					granted[kind]++
+					tokens += k.cost
+				}
+			}
+		}
+		if step%reportEvery == reportEvery-1 {
+			f.report(t)
+		}
+	}
+	g.Expect(granted[0]/asked[0]).To(BeNumerically(">", 0.95), "payout orders")
+	g.Expect(granted[long]).To(BeNumerically(">", 0), "long prompts get what is left")
+	g.Expect(tokens).To(BeNumerically(">", 0.9*rate*steps/perSecond), "the quota is used")
+	idle := newFleet(7)
+	idle.appoint(0, 1)
+	idle.tick(t)
+	ok, _ := idle.agents[3].Take(t.Context(), account, 1.5*rate)
+	g.Expect(ok).To(BeTrue(), "a prompt larger than the burst")
+}
+
 // Pattern: an account uses 0.55 of its quota in prompts of 5,000 tokens over
 // many daemons, and for 4 s nobody coordinates, as after the coordinator's
 // machine was lost. Guards against refusals because no single daemon's share
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -182,11 +182,12 @@
 	if b == nil {
 		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
 	}
-	if b.level > 0 {
+	enough := min(r.Units, account.Burst*startLevel)
+	if b.level >= enough {
 		b.level -= r.Units
 		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
 	}
-	wait := time.Duration(-b.level / account.Rate * float64(time.Second))
+	wait := time.Duration((enough - b.level) / account.Rate * float64(time.Second))
 	return &coordinatorv1.BorrowResponse{WaitMs: max(wait, quotaRetry/5).Milliseconds()}, nil
 }
 
