--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -166,8 +166,10 @@
 	return response, nil
 }
 
-// Borrow implements coordinatorv1.CoordinatorServer. A request larger than the
-// level passes while there is any, and the bucket falls below zero.
+// Borrow implements coordinatorv1.CoordinatorServer. A request passes if the
+// level covers it, so that an account over its quota still gets what fits: its
+// short requests aren't refused for the sake of long ones. One that is larger
+// than half of the burst needs only that, and the bucket falls below zero.
 func (c *Coordinator) Borrow(_ context.Context, r *coordinatorv1.BorrowRequest) (*coordinatorv1.BorrowResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -294,21 +296,35 @@
 	return total, true, complete
 }
 
-// Busy returns the instance seconds a second that clients ask of each service,
-// summed over all daemons.
-func (c *Coordinator) Busy() map[string]float64 {
+// Demand is what clients ask of a service over all daemons.
+type Demand struct {
+	Busy  float64       // instance seconds a second
+	Delay time.Duration // mean remaining time of a prompt being read, weighted by Busy
+}
+
+// Demands sums up what the daemons report of each service.
+func (c *Coordinator) Demands() map[string]Demand {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	busy := map[string]float64{}
+	busy, delays := map[string]float64{}, map[string]float64{}
 	for _, report := range c.reports {
 		if c.config.Now()-report.at > silentAfter {
 			continue
 		}
 		for _, s := range report.services {
 			busy[s.Service] += s.Busy
+			delays[s.Service] += s.Busy * s.DelaySeconds
+		}
+	}
+	demands := make(map[string]Demand, len(busy))
+	for service, sum := range busy {
+		d := Demand{Busy: sum}
+		if sum > 0 {
+			d.Delay = time.Duration(delays[service] / sum * float64(time.Second))
 		}
+		demands[service] = d
 	}
-	return busy
+	return demands
 }
 
 // silent returns the daemons that stopped reporting shortly ago.
--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -254,6 +254,7 @@
 	"grown site":                {rate: 130, daemons: 62, engines: 50},
 	"grown site, large daemons": {rate: 130, daemons: 6, engines: 50},
 	"reclaim wave":              {rate: 130, daemons: 6, engines: 50, wave: 0.3},
+	"grown site, as planned":    {rate: 130, daemons: 6, engines: 20},
 }
 
 // Guards against prompts that wait behind others while instances are idle,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,7 +54,8 @@
 type Demand interface {
 	// Offered records an admitted request.
 	Offered(service string, prompt, shared int)
-	// FirstEvent records the latency of a request that found its instance idle.
+	// FirstEvent records the latency of a request that found no prompt waiting at
+	// its instance.
 	FirstEvent(service string, prompt, shared int, latency time.Duration)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -37,6 +37,8 @@
 	age    atomic.Int64 // of the configuration
 	budget atomic.Int64 // second attempts left
 	quota  atomic.Bool  // refuses
+	// readings are latencies from which the reading time of prompts is learned.
+	readings atomic.Int64
 	// stopping refuses requests that may last longer than a second.
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -51,7 +53,7 @@
 func (s *site) Take(string) bool                                { return s.budget.Add(-1) >= 0 }
 func (s *site) Accept(string, string) func(string) bool         { return nil }
 func (s *site) Offered(string, int, int)                        {}
-func (s *site) FirstEvent(string, int, int, time.Duration)      {}
+func (s *site) FirstEvent(string, int, int, time.Duration)      { s.readings.Add(1) }
 func (s *site) Observe(_, _, _ string, _ bool, _ time.Duration) {}
 
 func (s *site) Began(account string) {
@@ -330,6 +332,21 @@
 	}
 }
 
+// Pattern of the grown deployments: no instance is ever idle, but most requests
+// find no prompt waiting. Guards against a reading time of prompts that is never
+// measured there; the assumed one ordered 1.7 times the instances needed.
+func TestReadingTimeIsMeasuredBesideRunningRequests(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("w1", "report", worker.Behaviour{})
+	s.set.SetElsewhere(map[string]fleet.Load{"w1": {Inflight: 5}})
+	g.Expect(s.send(t.Context(), "/report/1", nil).err).NotTo(HaveOccurred())
+	g.Expect(s.readings.Load()).To(BeEquivalentTo(1))
+	s.set.SetElsewhere(map[string]fleet.Load{"w1": {Inflight: 5, Prefill: 9000}})
+	g.Expect(s.send(t.Context(), "/report/2", nil).err).NotTo(HaveOccurred())
+	g.Expect(s.readings.Load()).To(BeEquivalentTo(1), "another prompt delays the first event")
+}
+
 // Guards against a broken stream that can't be resumed looking complete.
 func TestBrokenStreamIsNotComplete(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -81,7 +81,9 @@
 	lease.Observe(false, latency, expected)
 	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, lease.Version, false, latency)
 	q.relay.latencies.observe(q.route.Name, latency)
-	if lease.Load.Inflight == 0 && latency < maxIdleLatency {
+	// Requests that have their first event delay the prompt little. Their number
+	// must not matter: where instances are never idle, nothing would be measured.
+	if lease.Load.Prefill == 0 && latency < maxIdleLatency {
 		q.relay.options.Demand.FirstEvent(q.service.Name, q.info.PromptTokens, q.info.SharedTokens, latency)
 	}
 	observeFirstEvent(q.relay.options.Clock.Since(q.received))
--- a/internal/scaling/demand.go
+++ b/internal/scaling/demand.go
@@ -20,8 +20,9 @@
 	// defaultPerToken is the prefill time of a token before it is measured:
 	// slower than the engines of today, so that a start errs on the safe side.
 	defaultPerToken = 12 * time.Microsecond
-	// leastPerToken bounds the fit when samples are all alike.
+	// leastPerToken and mostPerToken bound the fit when samples are all alike.
 	leastPerToken = time.Microsecond
+	mostPerToken  = 40 * time.Microsecond
 	// cachedShare is the part of a shared prompt that needn't be read again.
 	cachedShare = 0.7
 )
@@ -41,9 +42,18 @@
 	services map[string]*offered
 }
 
+// Demand is the load that clients ask of a service.
+type Demand struct {
+	Busy float64 // instance seconds a second
+	// Delay is the mean remaining time of the prompt that an instance reads when
+	// another request arrives.
+	Delay time.Duration
+}
+
 // offered is the work of one service.
 type offered struct {
 	tokens  float64 // a second, smoothed
+	squares float64 // of the tokens of each request, a second, smoothed alike
 	updated time.Duration
 	fit     fit
 }
@@ -71,33 +81,45 @@
 	}
 	o := e.of(service)
 	o.decay(e.now())
-	o.tokens += Work(prompt, shared) / demandWindow.Seconds()
+	work := Work(prompt, shared)
+	o.tokens += work / demandWindow.Seconds()
+	o.squares += work * work / demandWindow.Seconds()
 }
 
 // decay lets the average fall with time.
 func (o *offered) decay(now time.Duration) {
 	elapsed := (now - o.updated).Seconds()
 	o.updated = now
-	o.tokens *= max(1-elapsed/demandWindow.Seconds(), 0)
+	left := max(1-elapsed/demandWindow.Seconds(), 0)
+	o.tokens *= left
+	o.squares *= left
 }
 
-// FirstEvent records the latency of a request that found its instance idle.
+// FirstEvent records the latency of a request that found no prompt waiting at
+// its instance, as far as known. One that wasn't known delays it whatever its
+// own size, which the slope of the fit leaves out.
 func (e *Estimator) FirstEvent(service string, prompt, shared int, latency time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.of(service).fit.add(Work(prompt, shared), latency.Seconds())
 }
 
-// Busy returns the instance seconds a second that each service needs.
-func (e *Estimator) Busy() map[string]float64 {
+// Demands returns the load of each service that clients asked for.
+func (e *Estimator) Demands() map[string]Demand {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	busy := map[string]float64{}
+	demands := map[string]Demand{}
 	for service, o := range e.services {
 		o.decay(e.now())
-		busy[service] = o.tokens / e.filled() * o.fit.perToken().Seconds()
+		perToken := o.fit.perToken().Seconds()
+		d := Demand{Busy: o.tokens / e.filled() * perToken}
+		if o.tokens > 0 {
+			// The prompt being read is a long one more often than an arriving one is.
+			d.Delay = time.Duration(o.squares / (2 * o.tokens) * perToken * float64(time.Second))
+		}
+		demands[service] = d
 	}
-	return busy
+	return demands
 }
 
 // filled returns the part of the average's final level that a constant demand
@@ -127,5 +149,5 @@
 		return defaultPerToken
 	}
 	slope := time.Duration((f.n*f.xy - f.x*f.y) / spread * float64(time.Second))
-	return min(max(slope, leastPerToken), defaultPerToken)
+	return min(max(slope, leastPerToken), mostPerToken)
 }
--- a/internal/scaling/duty.go
+++ b/internal/scaling/duty.go
@@ -50,10 +50,10 @@
 	Token     func() int64 // fencing token, 0 while the duty isn't held
 	Table     func() *traffic.Table
 	Instances *fleet.Set
-	// Busy returns the instance seconds a second that clients ask of each service.
-	Busy   func() map[string]float64
-	Now    func() time.Duration
-	Policy Policy
+	// Demands returns what clients ask of each service, over all daemons.
+	Demands func() map[string]Demand
+	Now     func() time.Duration
+	Policy  Policy
 	// Forbidden reports whether the number must not change, for example while
 	// a new version of the service is brought in.
 	Forbidden func(service string) bool
@@ -105,12 +105,12 @@
 		d.token = token
 		d.services = map[string]*serviceState{}
 	}
-	busy := d.config.Busy()
+	demands := d.config.Demands()
 	for name, service := range table.Services {
 		if service.Scaling == nil || d.config.Forbidden(name) {
 			continue
 		}
-		d.decide(ctx, token, service, busy[name])
+		d.decide(ctx, token, service, demands[name], table.ShortestObjective(name))
 	}
 }
 
@@ -132,17 +132,17 @@
 	return counts
 }
 
-func (d *Duty) decide(ctx context.Context, token int64, service *traffic.Service, busy float64) {
+func (d *Duty) decide(ctx context.Context, token int64, service *traffic.Service, demand Demand, objective time.Duration) {
 	now := d.config.Now()
 	counts := d.counts(service.Name)
 	s := d.stateOf(service, counts)
-	if s.loaded == 0 && busy > 0 {
+	if s.loaded == 0 && demand.Busy > 0 {
 		s.loaded = now
 	}
 	s.learning = s.loaded == 0 || now-s.loaded < learnTime
 	s.observe(counts, now)
 	plan := Plan(d.config.Policy, Situation{
-		Scaling: service.Scaling, Need: d.need(s, busy), Ready: readyReclaimable(counts),
+		Scaling: service.Scaling, Need: d.need(s, demand, objective), Ready: readyReclaimable(counts),
 		Ordered: s.ordered(true), Kept: s.ordered(false), Dry: now < s.dryUntil,
 	})
 	repeat := s.mustRepeat(now)
@@ -150,7 +150,7 @@
 		for _, reclaimable := range []bool{false, true} {
 			place := Place{centre, reclaimable}
 			if s.due(place, plan[place], counts[place], repeat, now, service.Scaling.BootTime) {
-				d.order(ctx, token, service.Name, place, plan[place], s, busy)
+				d.order(ctx, token, service.Name, place, plan[place], s, demand)
 			}
 		}
 	}
@@ -158,8 +158,8 @@
 
 // need returns the number of instances for the load. Before the load is known,
 // it is what the operators started with.
-func (d *Duty) need(s *serviceState, busy float64) int {
-	need := d.config.Policy.Need(busy)
+func (d *Duty) need(s *serviceState, demand Demand, objective time.Duration) int {
+	need := d.config.Policy.Need(demand, objective)
 	if s.learning {
 		return max(need, s.started)
 	}
@@ -278,7 +278,7 @@
 	return now-since >= shrinkAfter
 }
 
-func (d *Duty) order(ctx context.Context, token int64, service string, place Place, wanted int, s *serviceState, busy float64) {
+func (d *Duty) order(ctx context.Context, token int64, service string, place Place, wanted int, s *serviceState, demand Demand) {
 	if d.config.Token() != token {
 		return
 	}
@@ -290,7 +290,7 @@
 	})
 	now := d.config.Now()
 	d.config.Log.Info("instances ordered", "service", service, "data_centre", place.DataCentre,
-		"reclaimable", place.Reclaimable, "before", p.ordered, "ordered", wanted, "busy", busy, "token", token, "error", err)
+		"reclaimable", place.Reclaimable, "before", p.ordered, "ordered", wanted, "busy", demand.Busy, "delay", demand.Delay, "token", token, "error", err)
 	p.orderAt = now
 	switch {
 	case err == nil:
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -5,15 +5,20 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 )
 
 // Policy holds the parameters of Plan.
 type Policy struct {
-	// Utilisation is the share of an instance's time that is planned for
-	// reading prompts. The rest keeps a long prompt from delaying the others.
-	Utilisation float64
+	// LeastUtilisation and MostUtilisation bound the share of an instance's time
+	// that is planned for reading prompts. The rest keeps a long prompt from
+	// delaying the others.
+	LeastUtilisation, MostUtilisation float64
+	// DelayShare is the part of the shortest objective that a request may wait
+	// on average for the prompts before it.
+	DelayShare float64
 	// FloorShare is the part of the need that instances carry which aren't
 	// reclaimable.
 	FloorShare float64
@@ -27,7 +32,9 @@
 // DefaultPolicy suits engines whose long prompts take as long as the latency
 // objective of the short questions beside them.
 func DefaultPolicy() Policy {
-	return Policy{Utilisation: 0.32, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3}
+	return Policy{
+		LeastUtilisation: 0.32, MostUtilisation: 0.45, DelayShare: 0.025, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3,
+	}
 }
 
 // Place is a kind of instance in a data centre.
@@ -50,9 +57,21 @@
 	Dry bool
 }
 
-// Need returns the number of instances for a load in instance seconds a second.
-func (p Policy) Need(busy float64) int {
-	return max(int(math.Ceil(busy/p.Utilisation)), p.MinNeed)
+// Utilisation returns the planned share of an instance's time. Of a queue whose
+// server is busy for the share u, an arrival waits u/(1-u) times the mean
+// remaining time of the prompt being read.
+func (p Policy) Utilisation(delay, objective time.Duration) float64 {
+	if delay <= 0 || objective <= 0 {
+		return p.LeastUtilisation
+	}
+	ratio := p.DelayShare * float64(objective) / float64(delay)
+	return min(max(ratio/(1+ratio), p.LeastUtilisation), p.MostUtilisation)
+}
+
+// Need returns the number of instances for a demand whose shortest latency
+// objective is given, 0 if there is none.
+func (p Policy) Need(d Demand, objective time.Duration) int {
+	return max(int(math.Ceil(d.Busy/p.Utilisation(d.Delay, objective))), p.MinNeed)
 }
 
 // Plan returns the number of instances for each place. Reclaimable instances
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -189,8 +190,8 @@
 	return scaling.New(scaling.Config{
 		Log: slog.New(slog.DiscardHandler), Cloud: f, Token: func() int64 { return 7 },
 		Table: func() *traffic.Table { return table }, Instances: f.set,
-		Busy: func() map[string]float64 { return map[string]float64{"s": *busy} },
-		Now:  f.now, Policy: scaling.DefaultPolicy(), Forbidden: func(string) bool { return false },
+		Demands: func() map[string]scaling.Demand { return map[string]scaling.Demand{"s": {Busy: *busy}} },
+		Now:     f.now, Policy: scaling.DefaultPolicy(), Forbidden: func(string) bool { return false },
 	})
 }
 
@@ -225,7 +226,7 @@
 	f := newFleetSim()
 	var busy float64
 	d := f.start(t, &busy)
-	need := scaling.DefaultPolicy().Need(busy)
+	need := scaling.DefaultPolicy().Need(scaling.Demand{Busy: busy}, 0)
 	g.Expect(f.total(false)).To(BeNumerically("<=", (need+1)/2), "the floor is small while reclaimable ones stand")
 	g.Expect(f.total(false) + f.total(true)).To(BeNumerically(">=", need))
 	short := 0
@@ -342,7 +343,7 @@
 	for range 8 {
 		f.step(d, t)
 	}
-	need := scaling.DefaultPolicy().Need(busy)
+	need := scaling.DefaultPolicy().Need(scaling.Demand{Busy: busy}, 0)
 	g.Expect(f.total(false) + f.total(true)).To(BeNumerically("<=", 2*need))
 	g.Expect(f.total(false) + f.total(true)).To(BeNumerically(">=", need))
 }
@@ -359,5 +360,75 @@
 		e.Offered("s", prompt, 0)
 	}
 	want := rate * prompt * 12e-6 // 12 us a token until it is measured
-	g.Expect(e.Busy()["s"]).To(BeNumerically("~", want, 0.15*want))
+	g.Expect(e.Demands()["s"].Busy).To(BeNumerically("~", want, 0.15*want))
+}
+
+// Guards against a reading time that is wrong because prompts wait behind ones
+// that the daemon doesn't know of yet, or because engines are slower than
+// assumed at the start.
+func TestReadingTimeIsLearned(t *testing.T) {
+	for _, perToken := range []time.Duration{7 * time.Microsecond, 25 * time.Microsecond} {
+		g := NewWithT(t)
+		now := time.Hour
+		e := scaling.NewEstimator(func() time.Duration { return now })
+		random := rand.New(rand.NewPCG(3, uint64(perToken)))
+		tokens := 0.0
+		const seconds, rate = 10, 60
+		for range seconds * rate {
+			now += time.Second / rate
+			prompt := 1800
+			if random.IntN(4) == 0 {
+				prompt = 4000 + int(random.ExpFloat64()*6000)
+			}
+			tokens += float64(prompt)
+			e.Offered("s", prompt, 0)
+			latency := 50*time.Millisecond + time.Duration(prompt)*perToken
+			if random.IntN(3) == 0 {
+				latency += time.Duration(random.ExpFloat64() * float64(60*time.Millisecond))
+			}
+			e.FirstEvent("s", prompt, 0, latency)
+		}
+		want := tokens / seconds * perToken.Seconds()
+		g.Expect(e.Demands()["s"].Busy).To(BeNumerically("~", want, 0.25*want), perToken.String())
+	}
+}
+
+// Figures of the grown sheets: requests a second, prompt tokens and shared ones.
+var sheets = map[string]struct {
+	perToken  time.Duration // reading time of an engine
+	objective time.Duration
+	least     float64 // utilisation
+	most      float64
+}{
+	"tsd-ub-grown":     {7143 * time.Nanosecond, 500 * time.Millisecond, 0.36, 0.45},
+	"rcb-compra-grown": {10858 * time.Nanosecond, 600 * time.Millisecond, 0.32, 0.36},
+}
+
+// Guards against a fleet of engines that read fast, beside a long objective,
+// being as large as one whose prompts delay each other.
+func TestUtilisationFollowsTheObjective(t *testing.T) {
+	const longRate, shortRate, seconds = 150, 450, 8
+	for name, sheet := range sheets {
+		g := NewWithT(t)
+		now := time.Hour
+		e := scaling.NewEstimator(func() time.Duration { return now })
+		for range seconds * 10 {
+			now += 100 * time.Millisecond
+			for range longRate / 10 {
+				e.Offered("s", 11_992, 5382)
+			}
+			for range shortRate / 10 {
+				e.Offered("s", 2368, 568)
+			}
+			for _, prompt := range []int{11_992, 2368} {
+				e.FirstEvent("s", prompt, 0, time.Duration(prompt)*sheet.perToken+50*time.Millisecond)
+			}
+		}
+		d := e.Demands()["s"]
+		used := scaling.DefaultPolicy().Utilisation(d.Delay, sheet.objective)
+		t.Logf("%s: busy %.1f, delay %s, utilisation %.3f", name, d.Busy, d.Delay, used)
+		g.Expect(used).To(And(BeNumerically(">=", sheet.least), BeNumerically("<=", sheet.most)), name)
+	}
+	g := NewWithT(t)
+	g.Expect(scaling.DefaultPolicy().Utilisation(0, time.Second)).To(Equal(scaling.DefaultPolicy().LeastUtilisation), "the delay isn't known")
 }
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -177,5 +177,22 @@
 	return all
 }
 
+// ShortestObjective returns the shortest latency objective of the streaming
+// routes of a service, 0 if there is none.
+func (t *Table) ShortestObjective(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, r := range t.Routes() {
+		if r.Semantics != Streaming || r.Objective <= 0 || shortest > 0 && r.Objective >= shortest {
+			continue
+		}
+		for _, share := range r.Shares {
+			if share.Service == service {
+				shortest = r.Objective
+			}
+		}
+	}
+	return shortest
+}
+
 // AccountOf returns the account that holds key, or nil.
 func (t *Table) AccountOf(key string) *Account { return t.keys[key] }
