--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -518,6 +518,7 @@
 			}
 		}
 	}
+	t.Logf("%.2f of the moments within the bound, %.0f reports a second", float64(within)/float64(moments), float64(reports)/length.Seconds())
 	g.Expect(float64(within)/float64(moments)).To(BeNumerically(">", 0.8), "moments at which the loss is within the bound")
 	g.Expect(float64(reports)/length.Seconds()).To(BeNumerically("<", 190), "reports a second at the coordinator")
 }
