--- a/internal/scaling/demand.go
+++ b/internal/scaling/demand.go
@@ -42,7 +42,7 @@
 	services map[string]*offered
 }
 
-// Demand is the load that clients ask of a service.
+// Demand is the load that clients ask of a service, by the measured reading time.
 type Demand struct {
 	Busy float64 // instance seconds a second
 	// Delay is the mean remaining time of the prompt that an instance reads when
@@ -50,6 +50,17 @@
 	Delay time.Duration
 }
 
+// unshared returns the demand for engines that read one prompt at a time. The
+// measured reading time is longer by 1/(1-u) at engines that are busy for the
+// share u, because prompts that arrive meanwhile are read in turns with it.
+func (d Demand) unshared(instances int) Demand {
+	if instances <= 0 {
+		return d
+	}
+	factor := 1 / (1 + d.Busy/float64(instances))
+	return Demand{Busy: d.Busy * factor, Delay: time.Duration(float64(d.Delay) * factor)}
+}
+
 // offered is the work of one service.
 type offered struct {
 	tokens  float64 // a second, smoothed
--- a/internal/scaling/duty.go
+++ b/internal/scaling/duty.go
@@ -37,6 +37,9 @@
 	// driftMargin is added to the boot time before a number that isn't reached
 	// is ordered again.
 	driftMargin = 3 * time.Second
+	// peakTime is how long the largest number of instances is remembered: about
+	// the time in which the measured reading time follows a change.
+	peakTime = 20 * time.Second
 	// unknownRepeat and unknownFor repeat orders after one that got no answer:
 	// it may be executed late and undo a newer one.
 	unknownRepeat = 3 * time.Second
@@ -73,9 +76,12 @@
 	started  int           // instances that stood before any was ordered
 	loaded   time.Duration // demand was first seen; 0 if not yet
 	learning bool          // the demand isn't known yet
+	starting bool          // some instances that aren't reclaimable don't serve yet
 	lostAt   time.Duration // an order got no answer; 0 if none did
 	repeated time.Duration
 	dryUntil time.Duration // no reclaimable instances are ordered before
+	peak     int           // most instances that served within peakTime
+	peakAt   time.Duration
 }
 
 // placeState is the number of instances of one kind in one data centre.
@@ -141,11 +147,13 @@
 	}
 	s.learning = s.loaded == 0 || now-s.loaded < learnTime
 	s.observe(counts, now)
+	demand = demand.unshared(s.mostServing(counts, now))
 	plan := Plan(d.config.Policy, Situation{
 		Scaling: service.Scaling, Need: d.need(s, demand, objective), Ready: readyReclaimable(counts),
 		Ordered: s.ordered(true), Kept: s.ordered(false), Dry: now < s.dryUntil,
 	})
 	repeat := s.mustRepeat(now)
+	s.starting = s.loaded > 0 && s.waitsForStarts(counts, now, service.Scaling.BootTime)
 	for _, centre := range byPrice(service.Scaling.Prices) {
 		for _, reclaimable := range []bool{false, true} {
 			place := Place{centre, reclaimable}
@@ -205,6 +213,20 @@
 	}
 }
 
+// mostServing returns the largest number of instances that served within
+// peakTime: the reading time was measured among them, and a fleet that has just
+// lost instances must not look less loaded.
+func (s *serviceState) mostServing(counts map[Place]count, now time.Duration) int {
+	serving := 0
+	for _, c := range counts {
+		serving += c.ready
+	}
+	if serving >= s.peak || now-s.peakAt > peakTime {
+		s.peak, s.peakAt = serving, now
+	}
+	return s.peak
+}
+
 // readyReclaimable returns the reclaimable instances that serve, by data centre.
 func readyReclaimable(counts map[Place]count) map[string]int {
 	ready := map[string]int{}
@@ -258,13 +280,25 @@
 	case wanted > p.ordered:
 		return true
 	case wanted < p.ordered:
-		return s.lasting(p.surplus, now)
+		return !s.starting && s.lasting(p.surplus, now)
 	case !p.known && !s.learning, repeat && p.known:
 		return true
 	}
 	return p.known && stands.ready < p.ordered && now-p.orderAt > boot+driftMargin
 }
 
+// waitsForStarts reports whether instances that aren't reclaimable are within
+// their boot time. The plan counts them, so that giving others back meanwhile
+// leaves too few. Of reclaimable ones it counts those that serve.
+func (s *serviceState) waitsForStarts(counts map[Place]count, now, boot time.Duration) bool {
+	for place, p := range s.places {
+		if !place.Reclaimable && p.known && counts[place].ready < p.ordered && now-p.orderAt < boot {
+			return true
+		}
+	}
+	return false
+}
+
 // lasting reports whether a surplus that was first seen at since has lasted
 // long enough. Right after the load has begun, the time in which the demand was
 // watched counts: the instances that stood at the start hid the surplus.
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -33,7 +33,7 @@
 // objective of the short questions beside them.
 func DefaultPolicy() Policy {
 	return Policy{
-		LeastUtilisation: 0.32, MostUtilisation: 0.45, DelayShare: 0.025, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3,
+		LeastUtilisation: 0.38, MostUtilisation: 0.45, DelayShare: 0.025, FloorShare: 0.3, SpareShare: 1.1, MinNeed: 3,
 	}
 }
 
