--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 )
 
@@ -19,6 +20,9 @@
 	// startLevel is the part of the burst with which a bucket starts: the
 	// coordinator before may have granted the rest.
 	startLevel = 0.5
+	// largeLevel is the part of the burst that lets a larger request pass. A
+	// bucket starts with as much.
+	largeLevel = startLevel
 	// silentAfter is the age of a report after which its daemon counts as silent.
 	silentAfter = 1200 * time.Millisecond
 	// forgetAfter is the age of a report after which its usage counts are dropped.
@@ -184,7 +188,7 @@
 	if b == nil {
 		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
 	}
-	enough := min(r.Units, account.Burst*startLevel)
+	enough := min(r.Units, account.Burst*largeLevel)
 	if b.level >= enough {
 		b.level -= r.Units
 		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
@@ -296,14 +300,9 @@
 	return total, true, complete
 }
 
-// Demand is what clients ask of a service over all daemons.
-type Demand struct {
-	Busy  float64       // instance seconds a second
-	Delay time.Duration // mean remaining time of a prompt being read, weighted by Busy
-}
-
-// Demands sums up what the daemons report of each service.
-func (c *Coordinator) Demands() map[string]Demand {
+// Demands sums up what clients ask of each service by the daemons' reports. The
+// delays are averaged by the work that they belong to.
+func (c *Coordinator) Demands() map[string]scaling.Demand {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	busy, delays := map[string]float64{}, map[string]float64{}
@@ -316,9 +315,9 @@
 			delays[s.Service] += s.Busy * s.DelaySeconds
 		}
 	}
-	demands := make(map[string]Demand, len(busy))
+	demands := make(map[string]scaling.Demand, len(busy))
 	for service, sum := range busy {
-		d := Demand{Busy: sum}
+		d := scaling.Demand{Busy: sum}
 		if sum > 0 {
 			d.Delay = time.Duration(delays[service] / sum * float64(time.Second))
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -205,7 +205,7 @@
 	})
 	d.scaler = scaling.New(scaling.Config{
 		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
-		Demands: d.fleetDemands, Now: bootclock.Now, Policy: scaling.DefaultPolicy(),
+		Demands: d.coordinator.Demands, Now: bootclock.Now, Policy: scaling.DefaultPolicy(),
 		Forbidden: d.rollouts.Open,
 	})
 }
@@ -237,15 +237,6 @@
 	return demand
 }
 
-// fleetDemands returns the demand of all daemons that this one knows as coordinator.
-func (d *Daemon) fleetDemands() map[string]scaling.Demand {
-	demands := map[string]scaling.Demand{}
-	for service, sum := range d.coordinator.Demands() {
-		demands[service] = scaling.Demand(sum)
-	}
-	return demands
-}
-
 // reportName identifies one incarnation of a daemon in its reports.
 func reportName(m member) string { return coordination.DaemonID(m.Name, m.Incarnation) }
 
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -14,7 +14,8 @@
 type Policy struct {
 	// LeastUtilisation and MostUtilisation bound the share of an instance's time
 	// that is planned for reading prompts. The rest keeps a long prompt from
-	// delaying the others.
+	// delaying the others. The least holds for sizes that vary so much that no
+	// utilisation keeps DelayShare, the most leaves room for a burst of half.
 	LeastUtilisation, MostUtilisation float64
 	// DelayShare is the part of the shortest objective that a request may wait
 	// on average for the prompts before it.
