--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -27,7 +27,7 @@
 	case result.AccountLimit:
 		return quotaCause(s, related)
 	case result.StoreUnavailable:
-		return "The daemon had no proof that its configuration and account keys were current." + lostDependency(related, "store"),
+		return "The daemon had no proof that its configuration and account keys were current." + lostDependency(s, related, "store"),
 			"The store, or the way of this daemon to it."
 	case result.Draining:
 		return "The daemon was stopping.", "A planned restart; clients go to other daemons."
@@ -59,7 +59,7 @@
 // not learn what is left of it.
 func quotaCause(s scope, related []Line) (text, next string) {
 	account := s.finished.Fields["account"]
-	if lost := lostDependency(related, "coordinator"); lost != "" {
+	if lost := lostDependency(s, related, "coordinator"); lost != "" {
 		return fmt.Sprintf("Account %s was refused while its quota could not be shared among the daemons.", account) + lost,
 			"`duty acquired` and `duty lost` on the other daemons."
 	}
@@ -78,16 +78,19 @@
 }
 
 // lostDependency describes the last loss of a dependency that was not regained
-// before, or "".
-func lostDependency(related []Line, name string) string {
+// before the request, or "".
+func lostDependency(s scope, related []Line, name string) string {
 	text := ""
 	for _, line := range related {
 		if line.Fields["dependency"] != name {
 			continue
 		}
-		if line.Message == "dependency lost" {
+		switch {
+		case line.Message == "dependency lost":
 			reason := line.Fields["reason"] + line.Fields["error"]
 			text = fmt.Sprintf(" The %s was lost at %s: %s.", name, line.Time.Format("15:04:05.000"), reason)
+		case line.Time.Before(s.from):
+			text = ""
 		}
 	}
 	return text
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -35,6 +35,18 @@
 	g.Expect(report.Cause).To(ContainSubstring("over its quota"), "another daemon lost it")
 }
 
+// Guards against a refusal being put down to a coordinator that was back before
+// the request came.
+func TestQuotaRefusedAfterTheCoordinatorIsBack(t *testing.T) {
+	g := NewWithT(t)
+	report, err := explain.Explain(read(g, "edge-1", `time=2026-12-04T10:00:01.000Z level=WARN msg="dependency lost" dependency=coordinator reason="no coordinator is known"
+time=2026-12-04T10:00:02.000Z level=INFO msg="dependency regained" dependency=coordinator token=7
+time=2026-12-04T10:00:05.000Z level=INFO msg="request finished" request=r4 account=acme attempts=0 status=429 code=1200 ran=false duration_ms=1 outcome="the account is over its quota"
+`), "r4")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Cause).To(ContainSubstring("over its quota"))
+}
+
 // Guards against a log that isn't read to its end because of a crash in it, and
 // against a killed daemon's request being told as served.
 func TestRequestOfAKilledDaemon(t *testing.T) {
--- a/internal/explain/lines.go
+++ b/internal/explain/lines.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"cmp"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,21 +27,12 @@
 func (l Line) String() string {
 	var b strings.Builder
 	b.WriteString(l.Time.Format("15:04:05.000") + " " + l.Source + " " + l.Message)
-	for _, key := range sortedKeys(l.Fields) {
+	for _, key := range slices.Sorted(maps.Keys(l.Fields)) {
 		b.WriteString(" " + key + "=" + l.Fields[key])
 	}
 	return b.String()
 }
 
-func sortedKeys(fields map[string]string) []string {
-	keys := make([]string, 0, len(fields))
-	for key := range fields {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // maxLineBytes bounds a line; a crash may write longer ones.
 const maxLineBytes = 1 << 20
 
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -214,12 +214,18 @@
 	return f.duty(busy)
 }
 
-// start lets a day begin with 18 instances and a load.
-func (f *fleetSim) start(t *testing.T, busy *float64) *scaling.Duty {
+// startWithoutLoad lets 10 s of a day pass before any load.
+func (f *fleetSim) startWithoutLoad(t *testing.T, busy *float64) *scaling.Duty {
 	d := f.startIdle(busy)
 	for range 40 {
 		f.step(d, t)
 	}
+	return d
+}
+
+// start lets a day begin with 18 instances and a load.
+func (f *fleetSim) start(t *testing.T, busy *float64) *scaling.Duty {
+	d := f.startWithoutLoad(t, busy)
 	*busy = 3
 	for range 80 {
 		f.step(d, t)
@@ -339,10 +345,7 @@
 	g := NewWithT(t)
 	f := newFleetSim()
 	busy := 0.0
-	d := f.startIdle(&busy)
-	for range 40 {
-		f.step(d, t)
-	}
+	d := f.startWithoutLoad(t, &busy)
 	before := f.total(false) + f.total(true)
 	busy = 2
 	for range 10 { // 2.5 s
@@ -409,10 +412,7 @@
 	g := NewWithT(t)
 	f := newFleetSim()
 	busy := 0.0
-	d := f.startIdle(&busy)
-	for range 40 {
-		f.step(d, t)
-	}
+	d := f.startWithoutLoad(t, &busy)
 	busy = 3
 	for range 200 {
 		f.step(d, t)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -16,11 +15,7 @@
 
 // Guards against broken promises under faults from outside real processes.
 func TestSeededSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "rudderd")
-	build := exec.Command("go", "build", "-o", binary, "github.com/dogwoodrudder/dogwoodrudder/cmd/rudderd")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary, _ := buildPrograms(t)
 	for _, c := range ciSeeds {
 		o := options{Binary: binary, Length: 12 * time.Second, Daemons: 4, Clients: 12, Planned: c.planned}
 		r, err := run(o, c.seed, t.TempDir())
