Bound what troubled upstreams can do, and heed what they say in replies

Cause: nothing read Server-Leaving or the Retry-After of a 503; a head, an interim reply or a body without end grew until the process ended or the client's deadline passed; comments counted as first events, and a stream that sent them kept its request; an error body was cut at 1 MiB and sent as whole; a late refusal without an ID on a reused connection was believed; negative token counts added to a quota; an entry with the address of another instance took that one out of use for good; an odd entry (2^62 slots, port 70000) was used; a poll reply beyond 8 MiB was asked for again for ever; a panic ended a duty for good, and one in a gRPC handler the process.

Change: heads are limited to 16 KiB and 200 lines, interim and skipped replies in number and bytes, bodies to 64 MiB; buffered bodies and events share two memory budgets of the process (1/8 and 1/16 of the machine's memory); a stream without events ends after 1.25 times its clients' patience and continues elsewhere after half of it where it can be resumed; an instance that says it leaves gets nothing more in this incarnation, one that asks for a pause nothing until it ends, and a slow return; entries are checked field by field; values over 4 KiB are not kept; panics are recovered, counted and logged.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -61,7 +62,7 @@
 func (r *Runner) loop(ctx context.Context, d Duty) {
 	restarts := metrics.GetOrCreateCounter(`rudder_duty_restarts_total{duty="` + d.Name + `"}`)
 	for {
-		err := d.Run(ctx)
+		err := runRecovered(ctx, d)
 		if ctx.Err() != nil {
 			return
 		}
@@ -75,6 +76,18 @@
 	}
 }
 
+// runRecovered runs a duty once and returns a panic as an error with its stack. A
+// panic in one duty must not end the others.
+func runRecovered(ctx context.Context, d Duty) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			metrics.GetOrCreateCounter(`rudder_panics_total{where="` + d.Name + `"}`).Inc()
+			err = errors.Errorf("panic: %v\n%s", value, debug.Stack())
+		}
+	}()
+	return d.Run(ctx)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,6 +78,14 @@
 	ackTimeout = 1500 * time.Millisecond
 	// instanceIdleTimeout is how long an idle connection to an instance is kept.
 	instanceIdleTimeout = 10 * time.Second
+	// maxFleetValueBytes is the largest entry of an instance or daemon that is kept.
+	// Theirs have some hundred bytes.
+	maxFleetValueBytes = 4 << 10
+	// requestMemoryShare and replyMemoryShare are the shares of the machine's memory
+	// that the bodies of requests, and what is buffered of replies, may take up. A body
+	// is copied once when it is sent, and freed memory counts until it is collected.
+	requestMemoryShare = 1.0 / 8
+	replyMemoryShare   = 1.0 / 16
 	// healthInterval is the time between two evaluations of the instances' health.
 	healthInterval = 500 * time.Millisecond
 	// dutyWorkers is the size of the worker pool that runs the duties. Each duty
@@ -163,7 +171,7 @@
 	operator, fleetPrefix := d.platform.Reader.Prefixes()
 	d.state.fleet = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, MaxPollWait: func() time.Duration { return fleetPollWait }, PollPause: d.currentFleetPollPause, Now: bootclock.Now,
-		DelayRemoval: d.state.mayExpireInOutage, OnChange: d.state.apply,
+		DelayRemoval: d.state.mayExpireInOutage, OnChange: d.state.apply, MaxValueBytes: maxFleetValueBytes,
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, MaxPollWait: d.currentConfigPollWait, PollPause: func() time.Duration { return configPollPause }, Now: bootclock.Now,
@@ -230,13 +238,19 @@
 	d.relay = relay.New(relay.Options{
 		Clock: d.clock, Log: d.log, Headers: d.platform.Headers, Configuration: d.state, Instances: d.instances, Pool: pool,
 		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.count), Versions: d.splitter,
-		Demand:     d.estimator,
+		Demand:        d.estimator,
+		RequestMemory: memoryBudget(s, requestMemoryShare), ReplyMemory: memoryBudget(s, replyMemoryShare),
 		DataCentre: s.DataCentre, DaemonCount: d.members.count, MaxKeyAge: s.Bounds.KeyRevocation - keyCheckMargin,
 		OnRequest: func() { d.rate.count.Add(1) },
 		Draining:  d.draining.Load, RefuseDuringShutdown: func(deadline time.Time) bool { return d.stopping.Load().refuses(time.Now(), deadline) },
 	})
 }
 
+// memoryBudget returns a budget of a share of the machine's memory.
+func memoryBudget(s *settings.Edge, share float64) *relay.MemoryBudget {
+	return relay.NewMemoryBudget(int64(share * float64(s.MemoryMB) * (1 << 20)))
+}
+
 // serviceDemand returns this daemon's demand for the report to the coordinator.
 func (d *Daemon) serviceDemand() []*coordinatorv1.ServiceDemand {
 	var demand []*coordinatorv1.ServiceDemand
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -69,12 +70,36 @@
 	if err := json.Unmarshal(value, &other); err != nil {
 		return errors.Wrap(err, "decode daemon entry")
 	}
+	if err := other.check(key); err != nil {
+		return err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.announced[key] = other
 	return nil
 }
 
+// maxMachineCapacity bounds CPUShare and LinkMbps in an announcement.
+const maxMachineCapacity = 1e6
+
+// check checks an announcement under key. Another writer may have left it.
+func (m member) check(key string) error {
+	if memberPrefix+m.Name != key {
+		return errors.Errorf("daemon entry has name %.60q", m.Name)
+	}
+	for _, address := range []string{m.Callers, m.Coordinator} {
+		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+			return errors.Errorf("daemon entry has address %.60q, want ip:port", address)
+		}
+	}
+	for _, capacity := range []float64{m.CPUShare, m.LinkMbps} {
+		if !(capacity >= 0 && capacity <= maxMachineCapacity) {
+			return errors.Errorf("daemon entry has capacity %g, want 0 to %g", capacity, maxMachineCapacity)
+		}
+	}
+	return nil
+}
+
 func (m *members) remove(key string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -88,7 +88,7 @@
 	}
 	description, err := s.reader.Instance(id, c.Value)
 	if err != nil {
-		s.log.Warn("instance entry ignored", "instance", id, "revision", c.ModRevision, "error", err)
+		s.log.Warn("instance entry ignored", "key", c.Key, "revision", c.ModRevision, "error", err)
 		s.instances.Remove(id)
 		return
 	}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -33,7 +33,8 @@
 // conn is a connection to one instance.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	limiter     *headLimiter
+	reader      *bufio.Reader // reads from limiter
 	idleSince   time.Time
 	idleTimeout time.Duration // announced by the upstream; 0 if unknown
 	reused      bool          // it has carried an earlier exchange
@@ -62,7 +63,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect: %v", err)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limiter := &headLimiter{Conn: c}
+	return &conn{Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 // openWithoutData reports whether an idle connection is open and has no unread
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,9 +20,12 @@
 // are skipped.
 const maxSkippedReplies = 4
 
-// maxSkippedBytes is the maximum body size of a skipped reply.
+// maxSkippedBytes is the maximum size of the bodies of all skipped replies.
 const maxSkippedBytes = 1 << 20
 
+// maxInterimReplies is the maximum number of interim (1xx) replies to a request.
+const maxInterimReplies = 8
+
 // Peer identifies the upstream instance of an exchange.
 type Peer struct {
 	ID      string
@@ -44,8 +47,9 @@
 	// NewConnection forbids reusing an idle connection, which the peer may be
 	// closing at that moment.
 	NewConnection bool
-	// Matches reports whether a reply belongs to the request; nil accepts any.
-	Matches func(http.Header) bool
+	// Matches reports whether a reply belongs to the request; nil accepts any. reused
+	// tells that the connection has carried earlier requests.
+	Matches func(h http.Header, reused bool) bool
 }
 
 // Reply is the head of a response and its body. Close must be called.
@@ -137,23 +141,33 @@
 // readReply reads the head of the reply that belongs to the request. It skips
 // interim (1xx) replies and late replies to earlier requests on the connection.
 func readReply(c *conn, r *Request) (*http.Response, error) {
-	for skipped := 0; ; {
+	skipped, interim := 0, 0
+	skippable := int64(maxSkippedBytes)
+	for {
+		c.limiter.expectHead()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
+		c.limiter.headRead()
+		switch {
+		case err != nil:
 			return nil, errors.Wrap(err, "read reply")
-		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("reply switches to a protocol that was not requested")
+		case response.StatusCode < http.StatusOK:
+			if interim++; interim > maxInterimReplies {
+				return nil, errors.Errorf("more than %d interim replies", maxInterimReplies)
+			}
 			continue
-		}
-		if r.Matches == nil || r.Matches(response.Header) {
+		case r.Matches == nil || r.Matches(response.Header, c.reused):
 			return response, nil
 		}
 		skipped++
 		if !c.reused || skipped > maxSkippedReplies || response.Close {
 			return nil, errors.New("reply belongs to another request")
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
-			return nil, errors.New("reply to another request is truncated or longer than 1 MiB")
+		// One byte more than allowed tells a body that ends at the limit from a longer one.
+		n, err := io.CopyN(io.Discard, response.Body, skippable+1)
+		if skippable -= n; skippable < 0 || !errors.Is(err, io.EOF) {
+			return nil, errors.New("replies to other requests are truncated or longer than 1 MiB")
 		}
 	}
 }
@@ -167,6 +181,19 @@
 	return n, err
 }
 
+// Complete reports whether the whole body was read.
+func (r *Reply) Complete() bool {
+	if !r.bodyRead {
+		var one [1]byte
+		n, err := r.Read(one[:])
+		return n == 0 && errors.Is(err, io.EOF)
+	}
+	return true
+}
+
+// Abort closes the connection, which ends a Read in progress.
+func (r *Reply) Abort() { _ = r.conn.Close() }
+
 // Close ends the exchange. It returns the connection to the pool only if the whole
 // request was written, the whole body was read and no data follows it.
 func (r *Reply) Close() {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -66,7 +66,7 @@
 	return &exchange.Request{
 		Method: http.MethodPost, Target: "/a/b?c=d", Host: "example", Body: []byte(body), HasBody: true,
 		Header:  http.Header{"X-Request-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("X-Request-Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("X-Request-Id") == id },
 	}
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -140,10 +140,10 @@
 
 func (s *Set) eligible(i *Instance, q Query) bool { return !i.Leaving && s.usable(i, q) }
 
-// usable reports whether the instance still owns its address, and the request
-// neither excludes it nor rejects its version.
+// usable reports whether the instance still owns its address and has not asked for a
+// pause, and the request neither excludes it nor rejects its version.
 func (s *Set) usable(i *Instance, q Query) bool {
-	return !i.displaced && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
+	return !i.displaced && (i.pausedUntil.IsZero() || !s.clock.Now().Before(i.pausedUntil)) && s.addresses[i.Address] == i.ID && !slices.Contains(q.Excluded, i.ID) &&
 		(q.Accept == nil || q.Accept(i.Version))
 }
 
@@ -170,6 +170,9 @@
 	if i.DataCentre != q.DataCentre {
 		score += crossDataCentrePenalty
 	}
+	if !i.pausedUntil.IsZero() {
+		score += recoveryCost(s.clock.Since(i.pausedUntil))
+	}
 	return score
 }
 
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -25,6 +25,8 @@
 	weight   float64 // health weight; 0 if ejected
 	// displaced means that another instance answered at its address.
 	displaced bool
+	// pausedUntil is the end of the pause that the instance asked for.
+	pausedUntil time.Time
 	remoteLoad
 }
 
@@ -48,7 +50,8 @@
 	mu        sync.Mutex
 	instances map[string]*Instance
 	byService map[string][]*Instance
-	addresses map[string]string // address to instance ID
+	addresses map[string]string  // address to instance ID
+	notices   map[string]*notice // by instance ID
 }
 
 // NewSet returns an empty set.
@@ -56,6 +59,7 @@
 	s := &Set{
 		clock: clock, log: log,
 		instances: map[string]*Instance{}, byService: map[string][]*Instance{}, addresses: map[string]string{},
+		notices: map[string]*notice{},
 	}
 	s.tracker = health.New(health.Config{Clock: clock, OnChange: s.healthChanged})
 	return s
@@ -86,14 +90,19 @@
 	}
 	now := s.clock.Now()
 	if old == nil || old.Incarnation != d.Incarnation || old.Address != d.Address {
-		old = &Instance{AddedAt: now, weight: 1}
+		previous := old
+		old = &Instance{Description: d, AddedAt: now, weight: 1}
 		s.instances[d.ID] = old
+		if previous != nil && previous.Address != d.Address {
+			s.releaseAddress(previous)
+		}
 	}
 	if d.Leaving && old.LeavingSince.IsZero() {
 		old.LeavingSince = now
 	}
 	old.Description = d
 	old.displaced = false
+	s.applyNotice(old)
 	s.addresses[d.Address] = d.ID
 	s.rebuildIndex()
 	s.mu.Unlock()
@@ -112,6 +121,7 @@
 	first := i != nil && !i.displaced
 	if first {
 		i.displaced = true
+		s.releaseAddress(i)
 	}
 	s.mu.Unlock()
 	if first {
@@ -124,6 +134,9 @@
 	s.mu.Lock()
 	d, known := s.instances[id]
 	delete(s.instances, id)
+	if known {
+		s.releaseAddress(d)
+	}
 	s.rebuildIndex()
 	s.mu.Unlock()
 	if !known {
@@ -136,6 +149,29 @@
 	}
 }
 
+// releaseAddress gives the address of an instance that was displaced or removed to
+// the latest other instance that is announced with it. An entry with the address of
+// another instance would otherwise take that one out of use for good. The caller
+// holds the lock.
+func (s *Set) releaseAddress(from *Instance) {
+	if s.addresses[from.Address] != from.ID {
+		return
+	}
+	var heir *Instance
+	for _, i := range s.instances {
+		if i != from && i.Address == from.Address && !i.displaced && (heir == nil || i.AddedAt.After(heir.AddedAt)) {
+			heir = i
+		}
+	}
+	if heir != nil {
+		s.addresses[from.Address] = heir.ID
+		return
+	}
+	if current := s.instances[from.ID]; current == nil || current.Address != from.Address {
+		delete(s.addresses, from.Address)
+	}
+}
+
 // rebuildIndex rebuilds byService. The caller holds the lock.
 func (s *Set) rebuildIndex() {
 	s.byService = map[string][]*Instance{}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -61,6 +61,10 @@
 	// Prefix selects the keys to copy. It should exclude keys that change often and
 	// that no reader needs, because each change ends the poll of every daemon.
 	Prefix string
+	// MaxValueBytes is the largest value that is kept; 0 means no limit. The value of a
+	// larger entry is dropped, so that other writers can't exhaust the memory of the
+	// daemon or the size of what it relays to others.
+	MaxValueBytes int
 	// MaxPollWait returns the maximum wait of a poll. While the store answers, the
 	// copy is known to be current as of at most that long ago.
 	MaxPollWait func() time.Duration
@@ -318,6 +322,10 @@
 	if old, ok := m.items[kv.Key]; ok && old.ModRevision >= kv.ModRevision {
 		return changes
 	}
+	if limit := m.config.MaxValueBytes; limit > 0 && len(kv.Value) > limit {
+		m.config.Log.Warn("value dropped", "key", kv.Key, "revision", kv.ModRevision, "bytes", len(kv.Value), "limit", limit)
+		kv.Value = nil
+	}
 	m.items[kv.Key] = kv
 	m.logChange(kv.Key)
 	return append(changes, Change{KeyValue: kv})
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -250,3 +250,25 @@
 	g.Eventually(m.Failing, 2*time.Second).Should(BeFalse())
 	g.Eventually(recoveries.Load, time.Second).Should(BeEquivalentTo(1))
 }
+
+// Another writer leaves entries of 1 MB. Guards against keeping them, which would end
+// a daemon on a small machine again and again.
+func TestLargeValuesAreNotKept(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 2, list: []store.KeyValue{
+		{Key: "a", Value: make([]byte, 1<<20), ModRevision: 1}, {Key: "b", Value: []byte("sound"), ModRevision: 2},
+	}}
+	m := mirror.New(mirror.Config{
+		Store: s, Log: slog.New(slog.DiscardHandler), MaxPollWait: func() time.Duration { return time.Second },
+		PollPause: func() time.Duration { return 0 }, Now: bootclock.Now, OnChange: func(mirror.Change) {}, MaxValueBytes: 4 << 10,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }()
+	g.Eventually(m.Synced).Should(BeTrue())
+	large, ok := m.Get("a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(large.Value).To(BeEmpty())
+	sound, _ := m.Get("b")
+	g.Expect(string(sound.Value)).To(Equal("sound"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
+	"runtime/debug"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/dogwoodrudder/dogwoodrudder/api/peer/v1"
 )
@@ -56,5 +61,30 @@
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.ChainUnaryInterceptor(recoverUnary),
+		grpc.ChainStreamInterceptor(recoverStream),
 	}
 }
+
+// recoverUnary answers a call whose handler panics with an error. gRPC would end the
+// process.
+func recoverUnary(ctx context.Context, request any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (reply any, err error) {
+	defer recoverCall(info.FullMethod, &err)
+	return handler(ctx, request)
+}
+
+// recoverStream is recoverUnary for streams.
+func recoverStream(server any, stream grpc.ServerStream, info *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
+	defer recoverCall(info.FullMethod, &err)
+	return handler(server, stream)
+}
+
+func recoverCall(method string, err *error) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	metrics.GetOrCreateCounter(`rudder_panics_total{where="` + method + `"}`).Inc()
+	slog.Default().Error("call panicked", "method", method, "panic", value, "stack", string(debug.Stack()))
+	*err = status.Error(codes.Internal, "internal error")
+}
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -56,6 +56,12 @@
 	InvalidReply
 )
 
+// Notice is what an instance says about itself in a reply.
+type Notice struct {
+	Leaving bool          // it is about to stop
+	Pause   time.Duration // it wants no requests from this daemon for this long
+}
+
 // HeaderCodec translates between the headers of the deployment and the values
 // that the relay uses.
 type HeaderCodec interface {
@@ -69,6 +75,9 @@
 	ForClient(instance http.Header) http.Header
 	// Classify returns the class of a reply.
 	Classify(status int, h http.Header) ReplyClass
-	// Matches reports whether a reply belongs to the request with this ID.
-	Matches(h http.Header, requestID string) bool
+	// Notice returns what the instance says about itself in a reply.
+	Notice(status int, h http.Header) Notice
+	// Matches reports whether a reply belongs to the request with this ID. On a reused
+	// connection a reply without an ID may be a late one to an earlier request.
+	Matches(h http.Header, requestID string, reused bool) bool
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -18,6 +18,10 @@
 	metrics.GetOrCreateCounter("rudder_relay_client_gone_total").Inc()
 }
 
+func countPause(service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_relay_pauses_total{service=%q}", service)).Inc()
+}
+
 func observeFirstEvent(latency time.Duration) {
 	metrics.GetOrCreateHistogram("rudder_relay_first_event_seconds").Update(latency.Seconds())
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
@@ -78,6 +78,9 @@
 	Demand        Demand
 	DataCentre    string
 	DaemonCount   func() int // number of daemons that use the instances
+	// RequestMemory and ReplyMemory limit what all requests together buffer of request
+	// bodies, and of replies.
+	RequestMemory, ReplyMemory *MemoryBudget
 	// MaxKeyAge is the maximum age of the configuration for requests that need an
 	// account key. Older keys may have been revoked.
 	MaxKeyAge time.Duration
@@ -123,7 +126,7 @@
 	info     RequestInfo
 	http     *http.Request
 	writer   http.ResponseWriter
-	body     []byte
+	body     buffer
 	table    *traffic.Table
 	route    *traffic.Route
 	service  *traffic.Service
@@ -151,6 +154,8 @@
 	q := &request{
 		relay: rl, info: rl.options.Headers.Parse(r.Header), http: r, writer: w, received: rl.options.Clock.Now(),
 	}
+	q.body.budget = rl.options.RequestMemory
+	defer q.body.free()
 	rl.options.OnRequest()
 	if rl.options.Draining() {
 		w.Header().Set("Connection", "close")
@@ -230,15 +235,17 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)))
+	err := q.body.readAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), limit)
+	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		q.body = body
 		return nil
 	case q.http.Context().Err() != nil:
 		return &problem{code: result.BadRequest, status: http.StatusBadRequest, detail: "the client closed the connection", clientGone: true}
-	case strings.Contains(err.Error(), "too large"):
+	case errors.As(err, &tooLarge):
 		return &problem{code: result.BodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: "body too large"}
+	case errors.Is(err, errBufferMemory):
+		return notExecuted(result.Overloaded, "the memory for request bodies is used up", busyRetryAfter)
 	}
 	return &problem{code: result.BadRequest, status: http.StatusBadRequest, detail: "read request body: " + err.Error(), clientGone: true}
 }
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 )
@@ -16,13 +18,19 @@
 // forwarded as they arrive.
 const maxBufferedBytes = 1 << 20
 
+// maxReplyBytes is the largest body of a reply that is not a stream. A longer one
+// counts as one without end and is broken off.
+const maxReplyBytes = 64 << 20
+
 // relayBuffered reads a reply that is not a stream and sends it to the client.
 func (q *request) relayBuffered(ctx context.Context, reply *exchange.Reply, reservation *fleet.Reservation, sent time.Time) (attemptOutcome, string) {
 	q.meterOnce()
 	reservation.FirstEventArrived()
-	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedBytes+1))
+	body := buffer{budget: q.relay.options.ReplyMemory}
+	defer body.free()
+	err := body.readAll(reply, maxBufferedBytes)
 	q.attemptTimer.stop()
-	if err != nil {
+	if err != nil && !errors.Is(err, errBodyTooLarge) {
 		if outcome, ended := q.contextOutcome(ctx, reservation); ended {
 			return outcome, err.Error()
 		}
@@ -33,11 +41,11 @@
 	q.relay.latencies.observe(q.route.Name, latency)
 	reservation.Observe(false, latency, 0)
 	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, reservation.Version, false, latency)
-	if len(body) > maxBufferedBytes {
-		return q.relayUnbuffered(reply, body)
+	if err != nil {
+		return q.relayUnbuffered(reply, &body)
 	}
-	q.writeHead(reply, int64(len(body)))
-	if _, err := q.writer.Write(body); err != nil {
+	q.writeHead(reply, int64(len(body.data)))
+	if _, err := q.writer.Write(body.data); err != nil {
 		return left, err.Error()
 	}
 	return answered, ""
@@ -45,14 +53,20 @@
 
 // relayUnbuffered forwards a reply that is too large to be buffered. start is the
 // part of the body that has been read.
-func (q *request) relayUnbuffered(reply *exchange.Reply, start []byte) (attemptOutcome, string) {
+func (q *request) relayUnbuffered(reply *exchange.Reply, start *buffer) (attemptOutcome, string) {
 	q.writeHead(reply, reply.Length)
-	if _, err := q.writer.Write(start); err != nil {
+	if _, err := q.writer.Write(start.data); err != nil {
 		return left, err.Error()
 	}
-	if _, err := io.Copy(q.writer, reply); err != nil {
+	rest := int64(maxReplyBytes - len(start.data))
+	start.free()
+	n, err := io.Copy(q.writer, io.LimitReader(reply, rest))
+	if err != nil {
 		return broken, err.Error()
 	}
+	if n == rest && !reply.Complete() {
+		return broken, "the reply is longer than 64 MiB"
+	}
 	return answered, ""
 }
 
@@ -63,8 +77,11 @@
 	if q.headWritten {
 		return broken, "status " + status
 	}
-	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedBytes))
-	if err != nil {
+	body := buffer{budget: q.relay.options.ReplyMemory}
+	defer body.free()
+	err := body.readAll(reply, maxBufferedBytes)
+	tooLarge := errors.Is(err, errBodyTooLarge)
+	if err != nil && !tooLarge {
 		return lost, "truncated failure " + status
 	}
 	if q.route.Repeatable() && q.attempts < q.route.Attempts && reply.Status >= http.StatusInternalServerError {
@@ -72,8 +89,11 @@
 	}
 	q.meterOnce()
 	q.outcome = "status " + status + " of the instance"
-	q.writeHead(reply, int64(len(body)))
-	if _, err := q.writer.Write(body); err != nil {
+	if tooLarge {
+		return q.relayUnbuffered(reply, &body)
+	}
+	q.writeHead(reply, int64(len(body.data)))
+	if _, err := q.writer.Write(body.data); err != nil {
 		return left, err.Error()
 	}
 	return answered, "status " + status
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -65,8 +65,7 @@
 			return
 		}
 		q.instance = reservation.ID
-		outcome, reason := q.attempt(ctx, reservation, stream)
-		reservation.Release()
+		outcome, reason := q.attemptAndRelease(ctx, reservation, stream)
 		q.logAttempt(reservation, outcome, reason)
 		switch outcome {
 		case answered:
@@ -96,14 +95,23 @@
 	}
 }
 
+// attemptAndRelease makes an attempt and releases its slot, also if the attempt panics.
+func (q *request) attemptAndRelease(ctx context.Context, reservation *fleet.Reservation, stream *streamState) (attemptOutcome, string) {
+	defer reservation.Release()
+	return q.attempt(ctx, reservation, stream)
+}
+
 // pick reserves a slot on an instance.
 func (q *request) pick() (*fleet.Reservation, error) {
-	query := fleet.Query{
+	return q.relay.options.Instances.Pick(q.query())
+}
+
+func (q *request) query() fleet.Query {
+	return fleet.Query{
 		Service: q.service.Name, AffinityKey: q.info.AffinityKey, PromptTokens: q.info.PromptTokens, Excluded: q.excluded,
 		SharedTokens: q.info.SharedTokens,
 		Accept:       q.relay.options.Versions.Accept(q.service.Name, q.info.ID), DataCentre: q.relay.options.DataCentre,
 	}
-	return q.relay.options.Instances.Pick(query)
 }
 
 // checkRetry returns nil if another attempt is allowed, or else the problem to
@@ -142,11 +150,15 @@
 	return outcomeUnknown(result.UpstreamFailed, "the attempt failed; "+detail)
 }
 
-// noInstance returns the problem for a request that no instance can take.
+// noInstance returns the problem for a request that no instance can take. If instances
+// have asked for a pause, the client is told to return when one of the pauses ends.
 func (q *request) noInstance(stream *streamState) *problem {
 	if q.ran || stream.started {
 		return outcomeUnknown(result.NoUpstream, "no other instance can take the request")
 	}
+	if wait, paused := q.relay.options.Instances.RetryAfter(q.query(), q.priority() == 0, q.remaining()); paused {
+		return notExecuted(result.UpstreamRefused, "all instances have asked for a pause", wait)
+	}
 	return notExecuted(result.NoUpstream, "no instance can take the request", busyRetryAfter)
 }
 
@@ -174,6 +186,7 @@
 	}
 	q.attemptTimer = timer
 	defer reply.Close()
+	q.heedNotice(reservation, reply)
 	switch options.Headers.Classify(reply.Status, reply.Header) {
 	case NotExecuted:
 		q.attempts++
@@ -201,6 +214,19 @@
 	return q.relayBuffered(ctx, reply, reservation, sent)
 }
 
+// heedNotice applies what the instance says about itself in its reply, before the reply
+// is passed on.
+func (q *request) heedNotice(reservation *fleet.Reservation, reply *exchange.Reply) {
+	notice := q.relay.options.Headers.Notice(reply.Status, reply.Header)
+	if notice.Leaving {
+		reservation.MarkLeaving()
+	}
+	if notice.Pause > 0 {
+		reservation.Pause(notice.Pause)
+		countPause(reservation.Service)
+	}
+}
+
 // peer returns the address of the instance and the number of idle connections
 // that this daemon may keep to it. All daemons together keep at most a share of
 // the connections that an instance accepts idle; the rest is for requests.
@@ -268,10 +294,12 @@
 		attempt.Account = q.account.Name
 	}
 	return &exchange.Request{
-		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Body: q.body,
+		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Body: q.body.data,
 		HasBody: q.http.ContentLength != 0, NewConnection: !q.route.Repeatable(),
 		Header:  q.relay.options.Headers.ForInstance(q.http.Header, attempt),
-		Matches: func(h http.Header) bool { return q.relay.options.Headers.Matches(h, q.info.ID) },
+		Matches: func(h http.Header, reused bool) bool {
+			return q.relay.options.Headers.Matches(h, q.info.ID, reused)
+		},
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,38 +37,55 @@
 func (s *streamState) resumable() bool { return !s.started || s.lastID != "" }
 
 // relayStream forwards events as they arrive. It forwards only complete events,
-// so that another attempt can continue between two of them.
+// so that another attempt can continue between two of them. Comments before the first
+// event are held back until it comes, because the request can no longer be sent to
+// another instance once a part of the reply was forwarded.
 func (q *request) relayStream(ctx context.Context, reply *exchange.Reply, reservation *fleet.Reservation, stream *streamState, sent time.Time) (attemptOutcome, string) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(ctx, reply.Abort)()
 	flusher, _ := q.writer.(http.Flusher)
-	var pending []byte
-	buffer := make([]byte, streamBufferBytes)
-	first := true
+	pending := buffer{budget: q.relay.options.ReplyMemory}
+	defer pending.free()
+	part := make([]byte, streamBufferBytes)
+	var stall *stallTimer
 	for {
-		n, err := reply.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if complete := completeEventsLen(pending); complete > 0 {
-			if first {
-				first = false
-				q.attemptTimer.stop()
-				q.recordFirstEvent(reservation, sent)
-			}
+		n, err := reply.Read(part)
+		if addErr := pending.add(part[:n]); addErr != nil {
+			return q.streamFailed(ctx, reservation, stream, sent, addErr)
+		}
+		complete := completeEventsLen(pending.data)
+		progress := containsEvent(pending.data[:complete])
+		if progress && stall == nil {
+			q.attemptTimer.stop()
+			q.recordFirstEvent(reservation, sent)
+			stall = newStallTimer(q.stallTimeout(stream), cancel)
+			defer stall.stop()
+		}
+		if complete > 0 && stall != nil {
 			q.writeHead(reply, -1)
-			if _, writeErr := q.writer.Write(pending[:complete]); writeErr != nil {
+			if _, writeErr := q.writer.Write(pending.data[:complete]); writeErr != nil {
 				return left, writeErr.Error()
 			}
 			flusher.Flush()
 			stream.started = true
-			if id := lastEventID(pending[:complete]); id != "" {
+			if id := lastEventID(pending.data[:complete]); id != "" {
 				stream.lastID = id
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			pending.data = append(pending.data[:0], pending.data[complete:]...)
+		}
+		if progress {
+			stall.progress()
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && !first:
+		case errors.Is(err, io.EOF) && stall != nil && !containsEvent(pending.data):
+			if _, writeErr := q.writer.Write(pending.data); writeErr != nil {
+				return left, writeErr.Error()
+			}
 			return answered, ""
 		case err != nil:
 			return q.streamFailed(ctx, reservation, stream, sent, err)
-		case len(pending) > maxEventBytes:
+		case len(pending.data) > maxEventBytes:
 			return q.streamFailed(ctx, reservation, stream, sent, io.ErrShortBuffer)
 		}
 	}
@@ -94,10 +111,14 @@
 
 // streamFailed classifies a stream that ended early.
 func (q *request) streamFailed(ctx context.Context, reservation *fleet.Reservation, stream *streamState, sent time.Time, err error) (attemptOutcome, string) {
-	if outcome, ended := q.contextOutcome(ctx, reservation); ended {
+	stalled := errors.Is(context.Cause(ctx), errStalled)
+	if outcome, ended := q.contextOutcome(ctx, reservation); ended && (!stalled || outcome == left) {
 		return outcome, err.Error()
 	}
 	q.observeFailure(reservation, sent)
+	if stalled {
+		return broken, errStalled.Error()
+	}
 	if stream.started {
 		return broken, "stream broke: " + err.Error()
 	}
@@ -117,6 +138,18 @@
 	return end
 }
 
+// containsEvent reports whether events contain a field, and not only comments, which
+// begin with a colon.
+func containsEvent(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // lastEventID returns the value of the last id field, or "" if there is none.
 func lastEventID(events []byte) string {
 	id := ""
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -10,7 +10,7 @@
 )
 
 // maxReplyBytes is the maximum size of the reply body of an Exchange. A longer body
-// is truncated.
+// is an error: the caller must not take its start for the whole.
 const maxReplyBytes = 64 << 20
 
 // Exchange is a request whose complete reply is read into memory.
@@ -69,9 +69,12 @@
 		return ExchangeReply{}, err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxReplyBytes+1))
 	if err != nil {
 		return ExchangeReply{}, errors.Wrapf(err, "read reply of %s %s", e.Method, e.Path)
 	}
+	if len(body) > maxReplyBytes {
+		return ExchangeReply{}, errors.Errorf("reply of %s %s is longer than 64 MiB", e.Method, e.Path)
+	}
 	return ExchangeReply{Status: resp.StatusCode(), Refused: resp.Header.Get(HeaderRefused), Body: body}, nil
 }
--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -18,6 +18,8 @@
 // Behaviour changes how a worker responds. The zero value is a healthy worker.
 type Behaviour struct {
 	Refuse     bool          // responds with status 503 and the header X-Not-Executed
+	RetryAfter string        // header of refusals; empty means none
+	Leaving    bool          // says in each response that it is leaving
 	Fail       bool          // executes the request and responds with status 500
 	LoseAnswer bool          // executes the request and closes the connection
 	CutAfter   int           // closes a stream after this number of events; 0 means never
@@ -48,6 +50,7 @@
 	active    atomic.Int64
 	// misdirected counts requests that were meant for another instance.
 	misdirected atomic.Int64
+	refused     atomic.Int64
 
 	mu   sync.Mutex
 	runs []Run
@@ -88,6 +91,9 @@
 // Misdirected returns the number of requests that were meant for another instance.
 func (w *Worker) Misdirected() int { return int(w.misdirected.Load()) }
 
+// Refused returns the number of requests that the worker refused.
+func (w *Worker) Refused() int { return int(w.refused.Load()) }
+
 // Entry returns the instance entry of the worker in the key-value store.
 func (w *Worker) Entry(zone, state string) []byte {
 	entry, err := json.Marshal(map[string]any{
@@ -115,7 +121,14 @@
 	if err != nil {
 		return
 	}
+	if b.Leaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if b.Refuse {
+		w.refused.Add(1)
+		if b.RetryAfter != "" {
+			rw.Header().Set("Retry-After", b.RetryAfter)
+		}
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
