Let a reader in each data centre poll the store for its daemons

Cause: while the coordinator forwards nothing, each daemon polled the store, each change ended the polls of all, and each daemon read each configuration from the store itself.

Change: the coordinator forwards the operators' entries too, compressed once for all; without it, daemons of fleets of 16 and more, with 3 s or more for a leaving instance, follow the largest daemon of their data centre, which polls for them. A reader needs contact of its own. The mirror of instances doesn't poll while the configuration's polls fail, at most 3 s; an interruption meant for an earlier poll no longer ends the next one; an entry that was deleted doesn't come back by a delta of a daemon that is behind.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -93,8 +93,8 @@
 	Rate func() float64
 	// Evidence returns the request outcomes by version to report.
 	Evidence func() []*coordinatorv1.VersionEvidence
-	// Cursor returns this daemon's position in the coordinator's mirror.
-	Cursor func() *coordinatorv1.MirrorCursor
+	// Cursors returns this daemon's positions in the coordinator's mirrors.
+	Cursors func() (fleet, operator *coordinatorv1.MirrorCursor)
 	// OnResponse is called with each response and the time at which its report
 	// was sent.
 	OnResponse func(response *coordinatorv1.ReportResponse, sent time.Duration)
@@ -277,7 +277,7 @@
 	a.rate = request.RequestsPerSecond
 	a.mu.Unlock()
 	request.Evidence = a.config.Evidence()
-	request.Fleet = a.config.Cursor()
+	request.Fleet, request.Operator = a.config.Cursors()
 	return request
 }
 
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -58,6 +58,10 @@
 // client calls the target of its link in the same process.
 type client struct{ link *testLink }
 
+func (client) Follow(context.Context, *coordinatorv1.FollowRequest, ...grpc.CallOption) (*coordinatorv1.FollowResponse, error) {
+	return nil, status.Error(codes.Unimplemented, "agents don't follow readers")
+}
+
 func (c client) Report(ctx context.Context, r *coordinatorv1.ReportRequest, _ ...grpc.CallOption) (*coordinatorv1.ReportResponse, error) {
 	if c.link.cut {
 		return nil, status.Error(codes.Unavailable, "cut")
@@ -123,7 +127,7 @@
 			Evidence:   func() []*coordinatorv1.VersionEvidence { return nil },
 			Rate:       func() float64 { return f.rates[i] },
 			OnLost:     func() {},
-			Cursor:     func() *coordinatorv1.MirrorCursor { return nil },
+			Cursors:    func() (fleet, operator *coordinatorv1.MirrorCursor) { return nil, nil },
 			OnResponse: func(*coordinatorv1.ReportResponse, time.Duration) {},
 		}))
 	}
--- a/internal/duty/panic_test.go
+++ b/internal/duty/panic_test.go
@@ -26,8 +26,7 @@
 	var starts atomic.Int64
 	g.Expect(r.Start(ctx, duty.Duty{Name: "test", Run: func(ctx context.Context) error {
 		if starts.Add(1) == 1 {
-			var entries map[string]int
-			entries["odd"]++ // a write to a nil map panics
+			panic("odd entry")
 		}
 		<-ctx.Done()
 		return nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -123,8 +122,12 @@
 	splitter    *rollout.Splitter
 	rollouts    *rollout.Duty
 
-	positionMu     sync.Mutex
-	mirrorPosition mirrorPosition
+	position mirrorPosition
+	deflater deflater
+	// askReaders receives an item when the coordinator forwards nothing any more.
+	askReaders chan struct{}
+	// coordinatorRelay is the time of the last update from the coordinator.
+	coordinatorRelay atomic.Int64
 
 	rate          requestRate
 	fleetRateBits atomic.Uint64 // requests per second of all daemons, as float64 bits; 0 if unknown
@@ -135,7 +138,7 @@
 
 // New returns a daemon that does nothing until Run is called.
 func New(s *settings.Edge, p Platform, log *slog.Logger) *Daemon {
-	d := &Daemon{settings: s, platform: p, log: log, clock: clockwork.NewRealClock(), civil: bootclock.NewCivil()}
+	d := &Daemon{settings: s, platform: p, log: log, clock: clockwork.NewRealClock(), civil: bootclock.NewCivil(), askReaders: make(chan struct{}, 1)}
 	d.instances = fleet.NewSet(d.clock, log)
 	d.members = newMembers(p.Store, log, member{
 		Name: s.Name, Incarnation: d.civil.Now().UnixMilli(), DataCentre: s.DataCentre,
@@ -172,18 +175,20 @@
 	d.state.fleet = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, MaxPollWait: func() time.Duration { return fleetPollWait }, PollPause: d.currentFleetPollPause, Now: bootclock.Now,
 		DelayRemoval: d.state.mayExpireInOutage, OnChange: d.state.apply, MaxValueBytes: maxFleetValueBytes,
+		Backoff: d.storeBackoff, HoldOff: func() bool { return d.state.operator.Failing() },
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, MaxPollWait: d.currentConfigPollWait, PollPause: func() time.Duration { return configPollPause }, Now: bootclock.Now,
-		OnConnectivityChange: d.state.fleet.InterruptPoll, OnChange: d.state.apply,
+		OnConnectivityChange: d.state.fleet.InterruptPoll, OnChange: d.state.apply, Backoff: d.storeBackoff,
+		PauseAfterList: true,
 	})
 }
 
 // currentConfigPollWait returns the maximum wait of a poll for the configuration. It is
-// shorter at the coordinator, because the other daemons rely on the coordinator's
-// proof and receive it with a delay.
+// shorter at the coordinator and at readers, because other daemons rely on their proof
+// and receive it with a delay.
 func (d *Daemon) currentConfigPollWait() time.Duration {
-	if d.holder.Valid() {
+	if d.reads() {
 		return coordinatorConfigPollWait
 	}
 	return configPollWait
@@ -191,7 +196,7 @@
 
 // currentFleetPollPause returns the pause between two polls for instances and daemons.
 func (d *Daemon) currentFleetPollPause() time.Duration {
-	if d.holder.Valid() {
+	if d.reads() {
 		return coordinatorFleetPollPause
 	}
 	return fallbackFleetPollPause
@@ -206,7 +211,7 @@
 		Rollouts: d.rolloutStates,
 		Slack:    func() float64 { return s.Bounds.QuotaSlack / 2 },
 	})
-	d.link.local = d.coordinator
+	d.link.local = coordinatorServer{d.coordinator, d}
 	d.agent = coordination.NewAgent(coordination.AgentConfig{
 		Daemon: reportID(d.members.self), Log: d.log, Link: d.link, Instances: d.instances,
 		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
@@ -214,9 +219,9 @@
 		Demand:     d.serviceDemand,
 		Evidence:   d.versionEvidence,
 		Rate:       func() float64 { return d.rate.update(bootclock.Now()) },
-		Cursor:     d.mirrorCursor,
+		Cursors:    d.mirrorCursors,
 		OnResponse: d.applyResponse,
-		OnLost:     d.stopFollowing,
+		OnLost:     d.coordinatorLost,
 	})
 	d.reporter = metering.New(metering.Config{
 		Log: d.log, Store: d.platform.Store, Key: usagePlanKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
@@ -265,8 +270,22 @@
 // reportID returns the identifier of a daemon's incarnation in its reports.
 func reportID(m member) string { return coordination.DaemonID(m.Name, m.Incarnation) }
 
+// coordinatorServer serves the calls of other daemons.
+type coordinatorServer struct {
+	*coordination.Coordinator
+	daemon *Daemon
+}
+
+// Follow implements coordinatorv1.CoordinatorServer.
+func (s coordinatorServer) Follow(_ context.Context, r *coordinatorv1.FollowRequest) (*coordinatorv1.FollowResponse, error) {
+	return s.daemon.follow(r)
+}
+
 // applyResponse applies the coordinator's response to a report.
 func (d *Daemon) applyResponse(r *coordinatorv1.ReportResponse, sent time.Duration) {
+	if r.Fleet != nil {
+		d.coordinatorRelay.Store(int64(sent))
+	}
 	d.members.setSilent(r.Silent)
 	d.applyRolloutStates(r.Rollouts)
 	d.applyMirrorDelta(r, sent)
@@ -341,6 +360,7 @@
 		{work, duty.Duty{Name: "operator mirror", Run: d.state.operator.Run}},
 		{work, duty.Duty{Name: "fleet mirror", Run: d.state.fleet.Run}},
 		{work, duty.Duty{Name: "agent", Run: d.agent.Run}},
+		{work, duty.Duty{Name: "readers", Run: d.followReaders}},
 		{work, duty.Duty{Name: "health", Run: d.evaluateHealth}},
 		{serving, duty.Duty{Name: "announce", Run: d.announce}},
 		{serving, duty.Duty{Name: "lease", Run: d.holder.Run}},
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"time"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
@@ -9,27 +10,41 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
-// mirrorPosition is the daemon's position in the changes that the coordinator
-// forwards from its mirrors. Daemons follow these mirrors instead of polling, so
-// that the calls to the store don't grow with the number of daemons.
+// mirrorPosition is the daemon's position in the changes that the coordinator or a
+// reader forwards from its mirrors. Daemons follow these mirrors instead of polling,
+// so that the calls to the store don't grow with the number of daemons.
 type mirrorPosition struct {
-	epoch string // identifies the coordinator and its incarnation
-	index int64
+	mu       sync.Mutex
+	epoch    string // identifies the other daemon and its incarnation
+	fleet    int64
+	operator int64
 }
 
-// maxRelayContactAge is the age of the coordinator's last proof of contact with the
-// store up to which it forwards its mirrors. Its polls wait 0.5 s. If the store
-// refuses it, the other daemons therefore notice early enough to learn of a
-// leaving instance from the store themselves.
+// maxRelayContactAge is the age of the last proof of contact with the store up to
+// which a daemon forwards its mirrors. Polls of the coordinator and of readers wait
+// 0.5 s. If the store refuses one, its followers therefore notice early enough to
+// learn of a leaving instance in another way.
 const maxRelayContactAge = time.Second
 
-// mirrorCursor returns the daemon's position in the coordinator's mirror.
-func (d *Daemon) mirrorCursor() *coordinatorv1.MirrorCursor {
-	d.positionMu.Lock()
-	defer d.positionMu.Unlock()
-	return &coordinatorv1.MirrorCursor{
-		Epoch: d.mirrorPosition.epoch, Index: d.mirrorPosition.index, Revision: d.state.fleet.Revision(),
+// mirrorCursors returns the daemon's positions in the mirrors of the daemon that it
+// follows.
+func (d *Daemon) mirrorCursors() (fleet, operator *coordinatorv1.MirrorCursor) {
+	p := &d.position
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &coordinatorv1.MirrorCursor{Epoch: p.epoch, Index: p.fleet, Revision: d.state.fleet.Revision()},
+		&coordinatorv1.MirrorCursor{Epoch: p.epoch, Index: p.operator, Revision: d.state.operator.Revision()}
+}
+
+// contactAge returns the age of the last proof that this daemon's mirrors are current,
+// and false if they are not current enough to be forwarded.
+func (d *Daemon) contactAge() (time.Duration, bool) {
+	age, known := d.state.operator.Age()
+	if !known || age > maxRelayContactAge || d.state.operator.Failing() || d.state.fleet.Failing() {
+		return 0, false
 	}
+	_, known = d.state.fleet.Age()
+	return age, known
 }
 
 // addMirrorDelta adds the state of this daemon's mirrors to its response as
@@ -38,74 +53,128 @@
 	if r.Fleet == nil || r.Daemon == reportID(d.members.self) {
 		return
 	}
-	contact, known := d.state.operator.Age()
-	if !known || contact > maxRelayContactAge || d.state.operator.Failing() || d.state.fleet.Failing() {
-		return // the coordinator has lost contact itself: the others must poll the store
-	}
-	response.ConfigRevision, response.ConfigAgeNanos = d.state.operator.MaxModRevision(), int64(contact)
-	age, known := d.state.fleet.Age()
-	if !known {
+	age, current := d.contactAge()
+	if !current {
 		return
 	}
-	epoch := reportID(d.members.self)
-	from := mirror.Cursor{Revision: r.Fleet.Revision}
-	if r.Fleet.Epoch == epoch {
-		from.Index = r.Fleet.Index
+	response.ConfigRevision, response.ConfigAgeNanos = d.state.operator.MaxModRevision(), int64(age)
+	response.Fleet = d.encodeDelta(d.state.fleet, r.Fleet)
+	if r.Operator != nil {
+		response.Operator = d.encodeDelta(d.state.operator, r.Operator)
 	}
-	delta := d.state.fleet.DeltaSince(from)
-	response.Fleet = encodeDelta(delta, epoch, age)
 }
 
-func encodeDelta(delta mirror.Delta, epoch string, age time.Duration) *coordinatorv1.MirrorDelta {
+// encodeDelta returns the changes of a mirror after a follower's position.
+func (d *Daemon) encodeDelta(m *mirror.Mirror, position *coordinatorv1.MirrorCursor) *coordinatorv1.MirrorDelta {
+	epoch := reportID(d.members.self)
+	from := mirror.Cursor{Revision: position.GetRevision()}
+	if position.GetEpoch() == epoch {
+		from.Index = position.GetIndex()
+	}
+	age, _ := m.Age() // known: contactAge has been checked
+	delta := m.DeltaSince(from)
 	encoded := &coordinatorv1.MirrorDelta{
 		Cursor:   &coordinatorv1.MirrorCursor{Epoch: epoch, Index: delta.Cursor.Index, Revision: delta.Cursor.Revision},
 		AgeNanos: int64(age), Deleted: delta.Deleted, Whole: delta.Whole, AllKeys: delta.Keys,
 	}
 	for _, kv := range delta.Entries {
-		encoded.Entries = append(encoded.Entries, &coordinatorv1.MirrorEntry{
-			Key: kv.Key, Value: kv.Value, Revision: kv.ModRevision, CreateRevision: kv.CreateRevision, Lease: int64(kv.Lease),
-		})
+		entry := &coordinatorv1.MirrorEntry{
+			Key: kv.Key, Revision: kv.ModRevision, CreateRevision: kv.CreateRevision, Lease: int64(kv.Lease),
+		}
+		if entry.DeflatedValue = d.deflater.deflate(kv); entry.DeflatedValue == nil {
+			entry.Value = kv.Value
+		}
+		encoded.Entries = append(encoded.Entries, entry)
 	}
 	return encoded
 }
 
-// applyMirrorDelta applies the coordinator's mirrors to those of this daemon. The
-// coordinator determined the ages after the report was sent, so the time of
-// sending minus the age is a safe time for the proof.
+// applyMirrorDelta applies the coordinator's mirrors to those of this daemon.
 func (d *Daemon) applyMirrorDelta(response *coordinatorv1.ReportResponse, sent time.Duration) {
-	if response.ConfigRevision > 0 {
-		if response.ConfigRevision > d.state.operator.MaxModRevision() {
-			d.state.operator.StopRelay()
-		} else {
-			proof := sent - time.Duration(response.ConfigAgeNanos)
-			d.state.operator.SetRelayedCurrent(proof, proof)
-		}
+	if response.Fleet == nil {
+		d.relayEnded()
+		return
 	}
-	delta := response.Fleet
-	if delta == nil {
-		d.state.fleet.StopRelay()
+	if response.Operator != nil {
+		d.applyDeltas(response.Fleet, response.Operator, sent)
+		return
+	}
+	// A coordinator of an earlier version doesn't forward the operators' entries.
+	if response.ConfigRevision > d.state.operator.MaxModRevision() {
 		d.state.operator.StopRelay()
+	} else {
+		proof := sent - time.Duration(response.ConfigAgeNanos)
+		d.state.operator.SetRelayedCurrent(proof, proof)
+	}
+	d.applyDeltas(response.Fleet, nil, sent)
+}
+
+// applyDeltas applies the changes of another daemon's mirrors. That daemon determined
+// the ages after the request was sent, so the time of sending minus the age is a safe
+// time for the proof.
+func (d *Daemon) applyDeltas(fleet, operator *coordinatorv1.MirrorDelta, sent time.Duration) {
+	p := &d.position
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if operator != nil {
+		proof := sent - time.Duration(operator.AgeNanos)
+		if !d.applyDelta(d.state.operator, operator, proof, proof) {
+			return
+		}
+	}
+	if !d.applyDelta(d.state.fleet, fleet, sent-time.Duration(fleet.AgeNanos), sent) {
 		return
 	}
+	p.epoch, p.fleet, p.operator = fleet.Cursor.GetEpoch(), fleet.Cursor.GetIndex(), operator.GetCursor().GetIndex()
+}
+
+// applyDelta applies a delta to a mirror. It returns false for a delta that can't be
+// decoded; the mirror then polls the store itself.
+func (d *Daemon) applyDelta(m *mirror.Mirror, delta *coordinatorv1.MirrorDelta, currentAt, requestedAt time.Duration) bool {
 	decoded := mirror.Delta{
-		Cursor:  mirror.Cursor{Index: delta.Cursor.Index, Revision: delta.Cursor.Revision},
+		Cursor:  mirror.Cursor{Index: delta.Cursor.GetIndex(), Revision: delta.Cursor.GetRevision()},
 		Deleted: delta.Deleted, Whole: delta.Whole, Keys: delta.AllKeys,
 	}
 	for _, e := range delta.Entries {
+		value := e.Value
+		if len(e.DeflatedValue) > 0 {
+			var err error
+			if value, err = inflate(e.DeflatedValue); err != nil {
+				d.log.Warn("forwarded entry not decoded", "key", e.Key, "revision", e.Revision, "error", err)
+				m.StopRelay()
+				return false
+			}
+		}
 		decoded.Entries = append(decoded.Entries, store.KeyValue{
-			Key: e.Key, Value: e.Value, ModRevision: e.Revision, CreateRevision: e.CreateRevision, Lease: store.LeaseID(e.Lease),
+			Key: e.Key, Value: value, ModRevision: e.Revision, CreateRevision: e.CreateRevision, Lease: store.LeaseID(e.Lease),
 		})
 	}
-	d.state.fleet.ApplyDelta(decoded, sent-time.Duration(delta.AgeNanos), sent)
-	d.positionMu.Lock()
-	defer d.positionMu.Unlock()
-	d.mirrorPosition = mirrorPosition{epoch: delta.Cursor.Epoch, index: delta.Cursor.Index}
+	m.ApplyDelta(decoded, currentAt, requestedAt)
+	return true
 }
 
-// stopFollowing makes the daemon poll the store itself.
-func (d *Daemon) stopFollowing() {
+// relayEnded is called when the coordinator has lost contact with the store, or this
+// daemon with the coordinator.
+func (d *Daemon) relayEnded() {
+	if d.usesReaders() {
+		select {
+		case d.askReaders <- struct{}{}:
+		default: // it has been woken already
+		}
+		return
+	}
+	d.pollStore()
+}
+
+// pollStore makes the daemon's mirrors poll the store at once.
+func (d *Daemon) pollStore() {
 	d.state.fleet.StopRelay()
 	d.state.operator.StopRelay()
+}
+
+// coordinatorLost is called when the coordinator has become unreachable.
+func (d *Daemon) coordinatorLost() {
+	d.relayEnded()
 	d.fleetRateBits.Store(0)
 }
 
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -39,7 +39,8 @@
 	report := func() {
 		sent := bootclock.Now()
 		response := &coordinatorv1.ReportResponse{}
-		leader.addMirrorDelta(&coordinatorv1.ReportRequest{Daemon: "follower/1", Fleet: follower.mirrorCursor()}, response)
+		fleet, operator := follower.mirrorCursors()
+		leader.addMirrorDelta(&coordinatorv1.ReportRequest{Daemon: "follower/1", Fleet: fleet, Operator: operator}, response)
 		follower.applyMirrorDelta(response, sent)
 	}
 	leader.state.fleet.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 9}}, bootclock.Now(), bootclock.Now())
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -47,7 +47,7 @@
 	holder       string                   // coordinator address; empty if unknown
 	lastHolder   string                   // the latest known holder
 	changedAt    time.Duration            // time of the last call of setHolder
-	avoidedUntil map[string]time.Duration // by coordinator address, until when it is not chosen as deputy
+	avoidedUntil map[string]time.Duration // by coordinator address, until when it is not chosen as deputy or reader
 }
 
 // deputyAvoidTime is the time for which a daemon that didn't answer is not chosen as
@@ -127,12 +127,22 @@
 }
 
 // AvoidDeputy implements coordination.Link.
-func (l *coordinatorLink) AvoidDeputy(address string) {
+func (l *coordinatorLink) AvoidDeputy(address string) { l.avoid(address, deputyAvoidTime) }
+
+// avoid excludes the daemon at address from the choice of deputies and readers.
+func (l *coordinatorLink) avoid(address string, duration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := bootclock.Now()
 	maps.DeleteFunc(l.avoidedUntil, func(_ string, until time.Duration) bool { return until <= now })
-	l.avoidedUntil[address] = now + deputyAvoidTime
+	l.avoidedUntil[address] = now + duration
+}
+
+// avoided reports whether avoid applies to the daemon at address.
+func (l *coordinatorLink) avoided(address string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.avoidedUntil[address] > now
 }
 
 // localClient calls the coordinator in the same process.
@@ -154,3 +164,8 @@
 func (c localClient) BorrowPooled(ctx context.Context, r *coordinatorv1.BorrowRequest, _ ...grpc.CallOption) (*coordinatorv1.BorrowResponse, error) {
 	return c.server.BorrowPooled(ctx, r)
 }
+
+// Follow implements coordinatorv1.CoordinatorClient.
+func (c localClient) Follow(ctx context.Context, r *coordinatorv1.FollowRequest, _ ...grpc.CallOption) (*coordinatorv1.FollowResponse, error) {
+	return c.server.Follow(ctx, r)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -71,7 +71,7 @@
 		s.auxiliary = append(s.auxiliary, server)
 	}
 	s.coordinator = grpc.NewServer(peer.ServerOptions()...)
-	coordinatorv1.RegisterCoordinatorServer(s.coordinator, d.coordinator)
+	coordinatorv1.RegisterCoordinatorServer(s.coordinator, coordinatorServer{d.coordinator, d})
 	listener, err := net.Listen("tcp", d.settings.CoordinatorAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for calls of other daemons")
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -95,6 +95,10 @@
 	var changes []Change
 	m.mu.Lock()
 	for _, kv := range delta.Entries {
+		// An entry of a revision that this copy includes, and does not have, was deleted.
+		if _, present := m.items[kv.Key]; !present && kv.ModRevision <= m.revision {
+			continue
+		}
 		changes = m.put(changes, kv)
 	}
 	for _, key := range delta.Deleted {
@@ -148,5 +152,24 @@
 	return relayedAt != 0 && m.config.Now()-relayedAt < relayTimeout
 }
 
+// RelayAge returns the time since the latest update from another daemon.
+func (m *Mirror) RelayAge() time.Duration {
+	return m.config.Now() - time.Duration(m.relayedAt.Load())
+}
+
+// PolledAge returns how long ago a call of this mirror showed the copy to be current.
+func (m *Mirror) PolledAge() time.Duration {
+	return m.config.Now() - time.Duration(m.polledAt.Load())
+}
+
+// RequirePolls makes the mirror poll the store for some time although it gets updates
+// from another daemon.
+func (m *Mirror) RequirePolls(duration time.Duration) {
+	m.pollUntil.Store(int64(m.config.Now() + duration))
+}
+
+// PollRequired reports whether RequirePolls applies.
+func (m *Mirror) PollRequired() bool { return m.config.Now() < time.Duration(m.pollUntil.Load()) }
+
 // StopRelay makes the mirror poll the store itself, at once.
 func (m *Mirror) StopRelay() { m.relayedAt.Store(0) }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -19,10 +19,12 @@
 )
 
 const (
-	// minRetryDelay and maxRetryDelay limit the base of the backoff after a failed
-	// call. The wait is between once and twice the base.
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
+	// firstPollWait is the wait of the first poll after a time without polls, so that
+	// the copy is soon known to be current.
+	firstPollWait = 50 * time.Millisecond
+	// maxHoldOff is the longest time for which Config.HoldOff keeps the mirror from
+	// polling.
+	maxHoldOff = 3 * time.Second
 	// relayCheckInterval is the interval of the checks whether updates still come
 	// from another daemon.
 	relayCheckInterval = 100 * time.Millisecond
@@ -71,6 +73,15 @@
 	// PollPause returns the pause between two polls, which limits the number of calls
 	// during a burst of changes.
 	PollPause func() time.Duration
+	// Backoff returns the limits of the base of the backoff after a failed call; nil
+	// means DefaultBackoff. The wait is between once and twice the base.
+	Backoff func() Backoff
+	// PauseAfterList delays the first poll after a list, because updates from another
+	// daemon are expected by then.
+	PauseAfterList bool
+	// HoldOff reports whether calls to the store would fail at present, for example
+	// because those of another mirror do. Nil means never.
+	HoldOff func() bool
 	// Now returns the time since a fixed moment, including suspensions of the machine.
 	Now func() time.Duration
 	// DelayRemoval reports whether the removal of a key is delayed if an outage of
@@ -84,6 +95,12 @@
 	OnChange func(Change)
 }
 
+// Backoff limits the base of the backoff after failed calls.
+type Backoff struct{ Min, Max time.Duration }
+
+// DefaultBackoff lets a daemon notice soon that the store is back.
+var DefaultBackoff = Backoff{Min: 50 * time.Millisecond, Max: 400 * time.Millisecond}
+
 // Mirror is an in-memory copy of the store. It is safe for concurrent use.
 type Mirror struct {
 	config Config
@@ -102,6 +119,8 @@
 	synced          atomic.Bool
 	failing         atomic.Bool   // the latest call got no reply
 	relayedAt       atomic.Int64  // latest update from another daemon
+	polledAt        atomic.Int64  // latest time at which a call of this mirror showed the copy to be current
+	pollUntil       atomic.Int64  // until then the mirror polls even if it gets updates from another daemon
 	interrupts      chan struct{} // a value ends the poll in progress
 }
 
@@ -161,10 +180,10 @@
 // Run keeps the copy up to date until ctx ends. It does not call the store while
 // updates come from another daemon.
 func (m *Mirror) Run(ctx context.Context) error {
-	retryDelay := minRetryDelay
+	var retryDelay time.Duration
 	listed := false
 	for ctx.Err() == nil {
-		if listed && m.Relayed() {
+		if listed && (m.Relayed() && !m.PollRequired() || m.heldOff()) {
 			duty.Sleep(ctx, relayCheckInterval)
 			m.applyDueRemovals()
 			continue
@@ -192,10 +211,11 @@
 			if m.config.OnConnectivityChange != nil {
 				m.config.OnConnectivityChange()
 			}
+			limits := m.backoff()
+			retryDelay = min(max(2*retryDelay, limits.Min), limits.Max)
 			pause = retryDelay + rand.N(retryDelay)
-			retryDelay = min(retryDelay*2, maxRetryDelay)
 		} else {
-			retryDelay = minRetryDelay
+			retryDelay = 0
 		}
 		duty.Sleep(ctx, pause)
 		m.applyDueRemovals()
@@ -203,6 +223,21 @@
 	return ctx.Err()
 }
 
+func (m *Mirror) backoff() Backoff {
+	if m.config.Backoff == nil {
+		return DefaultBackoff
+	}
+	return m.config.Backoff()
+}
+
+// heldOff reports whether Config.HoldOff keeps the mirror from polling.
+func (m *Mirror) heldOff() bool {
+	if m.config.HoldOff == nil || !m.config.HoldOff() {
+		return false
+	}
+	return m.config.Now()-time.Duration(m.currentAt.Load()) < maxHoldOff
+}
+
 // list lists the store and updates the copy. Entries that are not in the list are
 // removed. The pages of a list are not one snapshot; therefore polling continues
 // from the revision of the first page, and an entry is never replaced by an older
@@ -232,12 +267,18 @@
 	m.publish(changes)
 	m.setCurrent(sent)
 	m.synced.Store(true)
+	if m.config.PauseAfterList {
+		m.SetRelayedCurrent(sent, sent)
+	}
 	return nil
 }
 
 // poll waits for changes and applies them. A pending removal shortens the wait.
 func (m *Mirror) poll(ctx context.Context) error {
 	wait := m.config.MaxPollWait()
+	if m.PollRequired() && m.config.Now()-time.Duration(m.polledAt.Load()) > relayTimeout {
+		wait = firstPollWait
+	}
 	if due, pending := m.nextRemovalDue(); pending {
 		wait = min(wait, max(due-m.config.Now(), m.config.PollPause()))
 	}
@@ -245,6 +286,10 @@
 	defer cancel()
 	after := m.Revision()
 	sent := m.config.Now()
+	select {
+	case <-m.interrupts: // it was meant for an earlier poll
+	default:
+	}
 	finished := make(chan struct{})
 	defer close(finished)
 	go m.cancelOnInterrupt(cancel, finished)
@@ -301,7 +346,10 @@
 // store has replied.
 func (m *Mirror) setCurrent(at time.Duration) {
 	recovered := m.lastFailureAt.Load() > m.currentAt.Load()
-	m.currentAt.Store(int64(at))
+	if int64(at) > m.currentAt.Load() {
+		m.currentAt.Store(int64(at))
+	}
+	m.polledAt.Store(int64(at))
 	m.failing.Store(false)
 	if !recovered {
 		return
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -272,3 +272,59 @@
 	sound, _ := m.Get("b")
 	g.Expect(string(sound.Value)).To(Equal("sound"))
 }
+
+// A daemon follows another one whose copy is behind its own. Guards against an entry
+// that was deleted, and that the other daemon still has, coming back.
+func TestDeletedEntryDoesNotReturnByDelta(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New(mirror.Config{Log: slog.New(slog.DiscardHandler), Now: bootclock.Now, OnChange: func(mirror.Change) {}})
+	entry := store.KeyValue{Key: "a", Value: []byte("x"), ModRevision: 5}
+	now := bootclock.Now()
+	m.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 5}, Entries: []store.KeyValue{entry}}, now, now)
+	m.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 2, Revision: 8}, Deleted: []string{"a"}}, now, now)
+	m.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 6}, Entries: []store.KeyValue{entry}}, now, now)
+	_, present := m.Get("a")
+	g.Expect(present).To(BeFalse())
+	entry.ModRevision = 9
+	m.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 2, Revision: 9}, Entries: []store.KeyValue{entry}}, now, now)
+	_, present = m.Get("a")
+	g.Expect(present).To(BeTrue(), "it was written again")
+}
+
+// Guards against a daemon that polls for others, but stops when it gets updates itself.
+func TestRequiredPollsGoOnBesideUpdates(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 2}
+	m := mirror.New(mirror.Config{
+		Store: s, Log: slog.New(slog.DiscardHandler), MaxPollWait: func() time.Duration { return 20 * time.Millisecond },
+		PollPause: func() time.Duration { return 0 }, Now: bootclock.Now, OnChange: func(mirror.Change) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }()
+	g.Eventually(m.Synced).Should(BeTrue())
+	m.SetRelayedCurrent(bootclock.Now(), bootclock.Now()+time.Hour)
+	g.Eventually(m.PolledAge).Should(BeNumerically(">", 200*time.Millisecond), "it gets updates and does not poll")
+	m.RequirePolls(time.Second)
+	g.Eventually(m.PolledAge).Should(BeNumerically("<", 100*time.Millisecond))
+	g.Consistently(m.PolledAge, 300*time.Millisecond).Should(BeNumerically("<", 200*time.Millisecond))
+}
+
+// Guards against polls of one mirror that are known to fail because those of the other
+// do, and against a mirror that is kept from polling for ever.
+func TestMirrorHoldsOffForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 2}
+	m := mirror.New(mirror.Config{
+		Store: s, Log: slog.New(slog.DiscardHandler), MaxPollWait: func() time.Duration { return 20 * time.Millisecond },
+		PollPause: func() time.Duration { return 0 }, Now: bootclock.Now, OnChange: func(mirror.Change) {},
+		HoldOff: func() bool { return true },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }()
+	g.Eventually(m.Synced).Should(BeTrue())
+	time.Sleep(150 * time.Millisecond)
+	g.Consistently(func() bool { return m.PolledAge() < 100*time.Millisecond }, time.Second, 150*time.Millisecond).Should(BeFalse())
+	g.Eventually(m.PolledAge, 5*time.Second, 10*time.Millisecond).Should(BeNumerically("<", 100*time.Millisecond))
+}
