Renew announcements every 4 s and tell of daemons that never reported

Cause: 295 daemons that renew a lease of 5 s every 1.5 s make 197 calls a second; after a start each of them asked the store for the vacant duty; the silent daemons and the request rate were collected anew for each report.

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -27,6 +27,13 @@
 	// silentAfter is the age of a daemon's last report after which the daemon
 	// counts as silent.
 	silentAfter = 1200 * time.Millisecond
+	// firstReportTime is the time after a daemon acquired the duty within which all
+	// others report to it. Those that have not are silent.
+	firstReportTime = 3 * time.Second
+	// summaryInterval is how long the silent daemons and the request rate are kept
+	// that are sent in each response. To collect them takes time in proportion to the
+	// number of daemons.
+	summaryInterval = 200 * time.Millisecond
 	// reportRetention is the age of a daemon's last report after which the
 	// report and its usage counts are dropped.
 	reportRetention = 60 * time.Second
@@ -67,10 +74,18 @@
 	buckets  map[string]*bucket       // by account
 	reports  map[string]*daemonReport // by DaemonID
 	loads    *loadTotals              // from daemons that aren't silent
+	summary  summary
 	// restored is set once the usage counts of the previous holder were read.
 	restored bool
 }
 
+// summary is what all responses tell about the daemons.
+type summary struct {
+	takenAt time.Duration // 0 if it was never taken
+	silent  []string      // DaemonIDs
+	rate    float64       // requests per second
+}
+
 // bucket is the quota of an account that has not been granted yet.
 type bucket struct {
 	level    float64       // cost units
@@ -139,6 +154,7 @@
 		c.buckets = map[string]*bucket{}
 		c.reports = map[string]*daemonReport{}
 		c.loads = newLoadTotals()
+		c.summary = summary{}
 		c.restored = false
 	}
 	return nil
@@ -153,8 +169,10 @@
 	}
 	c.storeReport(r)
 	response := &coordinatorv1.ReportResponse{Token: c.token, Loads: c.loads.without(r.Daemon), Rollouts: c.config.Rollouts()}
-	response.Silent = c.silentDaemons()
-	response.RequestsPerSecond = c.requestRate()
+	if now := c.config.Now(); c.summary.takenAt == 0 || now-c.summary.takenAt > summaryInterval {
+		c.summary = summary{takenAt: now, silent: c.silentDaemons(), rate: c.requestRate()}
+	}
+	response.Silent, response.RequestsPerSecond = c.summary.silent, c.summary.rate
 	c.config.AddMirrorDelta(r, response)
 	table := c.config.Table()
 	if table == nil {
@@ -338,9 +356,16 @@
 }
 
 // silentDaemons returns the daemons that have stopped reporting but are not yet
-// forgotten.
+// forgotten, and the announced ones that never reported to this holder of the duty.
 func (c *Coordinator) silentDaemons() []string {
 	var names []string
+	if c.config.Now()-c.acquired > firstReportTime {
+		for _, id := range c.config.Members() {
+			if report := c.reports[id]; report == nil || report.sequence == 0 {
+				names = append(names, id)
+			}
+		}
+	}
 	for name, report := range c.reports {
 		if age := c.config.Now() - report.received; age > silentAfter && report.sequence > 0 {
 			names = append(names, name)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -126,6 +126,9 @@
 	deflater deflater
 	// askReaders receives an item when the coordinator forwards nothing any more.
 	askReaders chan struct{}
+	// campaignsFrom is the time from which on a daemon on a small machine campaigns
+	// for the coordinator duty after its start; 0 until its mirrors are current.
+	campaignsFrom atomic.Int64
 	// coordinatorRelay is the time of the last update from the coordinator.
 	coordinatorRelay atomic.Int64
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -195,5 +195,8 @@
 	if _, held := d.state.fleet.Get(dutyKey); held {
 		return false
 	}
-	return d.settings.CPUShare >= immediateCampaignCPU || bootclock.Now()-d.link.lastHolderChange() > campaignDelay
+	now := bootclock.Now()
+	d.campaignsFrom.CompareAndSwap(0, int64(now+campaignDelay))
+	vacant := now - d.link.lastHolderChange()
+	return d.settings.CPUShare >= immediateCampaignCPU || vacant > campaignDelay && now > time.Duration(d.campaignsFrom.Load())
 }
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -15,14 +15,17 @@
 	"github.com/dogwoodrudder/dogwoodrudder/platform"
 )
 
-// newTestDaemon returns a daemon that is not running.
-func newTestDaemon(name string) *Daemon {
+// newTestDaemon returns a daemon that is not running, and whose store is down.
+func newTestDaemon(name string) *Daemon { return newTestDaemonOf(name, "127.0.0.1:3") }
+
+// newTestDaemonOf returns a daemon that is not running, with the store at an address.
+func newTestDaemonOf(name, storeAddress string) *Daemon {
 	s := &settings.Edge{
 		Name: name, DataCentre: "a", CallersAddress: "127.0.0.1:1", CoordinatorAddress: "127.0.0.1:2", CPUShare: 1,
 		Bounds: settings.Bounds{KeyRevocation: 5 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, RetryWindow: 10 * time.Second},
 	}
 	return New(s, Platform{
-		Store: platform.NewStore("127.0.0.1:3"), Cloud: platform.NewCloud("127.0.0.1:4", name), Reader: platform.Reader{},
+		Store: platform.NewStore(storeAddress), Cloud: platform.NewCloud("127.0.0.1:4", name), Reader: platform.Reader{},
 		Headers: platform.Headers{}, Ready: platform.ReadyHandler,
 		Directory: func(f func(string, int) []string, ttl time.Duration) http.Handler {
 			return platform.DirectoryHandler(f, ttl)
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -19,11 +19,12 @@
 	// memberPrefix is the prefix of the store keys that announce the daemons.
 	memberPrefix = ownPrefix + "daemons/"
 	// memberTTL is the lease TTL of an announcement: the time for which a dead
-	// daemon stays announced.
-	memberTTL = 5 * time.Second
-	// memberRenewInterval is the time between two renewals of the lease. Within
-	// memberTTL two renewals may fail.
-	memberRenewInterval = 1500 * time.Millisecond
+	// daemon stays announced. The coordinator tells the others much sooner which
+	// daemons don't report to it.
+	memberTTL = 15 * time.Second
+	// memberRenewInterval is the time between two renewals of the lease. The calls of
+	// all daemons add up, and within memberTTL two renewals may fail.
+	memberRenewInterval = 4 * time.Second
 	// minMemberRetry is the wait after the first failure. It doubles up to
 	// maxMemberRetry, because a store that refuses machines charges for each call.
 	minMemberRetry = 300 * time.Millisecond
@@ -56,10 +57,12 @@
 	announced map[string]member // by key, this daemon included
 	lease     store.LeaseID
 	silent    map[string]bool // daemons that don't report to the coordinator, by reportID
+	// removed receives an item when this daemon's announcement disappears.
+	removed chan struct{}
 }
 
 func newMembers(s store.Store, log *slog.Logger, self member) *members {
-	return &members{store: s, log: log, self: self, announced: map[string]member{}}
+	return &members{store: s, log: log, self: self, announced: map[string]member{}, removed: make(chan struct{}, 1)}
 }
 
 func (m *members) key() string { return memberPrefix + m.self.Name }
@@ -104,6 +107,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.announced, key)
+	if key == m.key() {
+		select {
+		case m.removed <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // others returns all announced daemons but this one.
@@ -172,11 +181,24 @@
 		} else {
 			retry = minMemberRetry
 		}
-		duty.Sleep(ctx, wait)
+		m.sleep(ctx, wait)
 	}
 	return nil
 }
 
+// sleep waits for wait, or a random part of minMemberRetry after the announcement
+// has disappeared: after an outage, those of all daemons may do so at once.
+func (m *members) sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.removed:
+		duty.Sleep(ctx, rand.N(minMemberRetry))
+	}
+}
+
 // renew renews the announcement, or makes a new one if it has expired.
 func (m *members) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
