--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,6 +150,7 @@
 	d.instances.DaemonCount = d.members.count
 	d.peers = peer.NewPool(peerIdleTimeout, time.Now)
 	d.link = &coordinatorLink{log: log, self: s.CoordinatorAddress, members: d.members, peers: d.peers, avoidedUntil: map[string]time.Duration{}, vacated: make(chan struct{}, 1)}
+	d.link.dial = d.link.dialPeer
 	d.state = &state{
 		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyRolloutChange,
 	}
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -42,6 +42,8 @@
 	peers   *peer.Pool
 	// vacated receives an item when dutyKey is deleted.
 	vacated chan struct{}
+	// dial returns a client of another daemon.
+	dial func(address string) (coordinatorv1.CoordinatorClient, error)
 
 	mu           sync.Mutex
 	holder       string                   // coordinator address; empty if unknown
@@ -97,12 +99,21 @@
 	if address == l.self {
 		return localClient{l.local}, true
 	}
-	conn, err := l.peers.Conn(address)
+	client, err := l.dial(address)
 	if err != nil {
 		l.log.Warn("daemon not reached", "address", address, "error", err)
 		return nil, false
 	}
-	return coordinatorv1.NewCoordinatorClient(conn), true
+	return client, true
+}
+
+// dialPeer returns a client over a pooled connection.
+func (l *coordinatorLink) dialPeer(address string) (coordinatorv1.CoordinatorClient, error) {
+	conn, err := l.peers.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return coordinatorv1.NewCoordinatorClient(conn), nil
 }
 
 // Deputy implements coordination.Link. It chooses the daemon with the largest CPU
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -177,6 +177,9 @@
 		if err := m.renew(ctx); err != nil {
 			m.log.Warn("daemon not announced", "error", err)
 			wait = retry + rand.N(retry)/2
+			if m.isAnnounced() {
+				wait = memberRenewInterval/2 + rand.N(memberRenewInterval/4) // the lease still lasts for several attempts
+			}
 			retry = min(retry*2, maxMemberRetry)
 		} else {
 			retry = minMemberRetry
@@ -199,15 +202,22 @@
 	}
 }
 
+// isAnnounced reports whether the announcement was made and is still listed.
+func (m *members) isAnnounced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, listed := m.announced[m.key()]
+	return m.lease != 0 && listed
+}
+
 // renew renews the announcement, or makes a new one if it has expired.
 func (m *members) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 	defer cancel()
-	m.mu.Lock()
-	id := m.lease
-	_, listed := m.announced[m.key()]
-	m.mu.Unlock()
-	if id != 0 && listed {
+	if m.isAnnounced() {
+		m.mu.Lock()
+		id := m.lease
+		m.mu.Unlock()
 		_, err := m.store.KeepAlive(ctx, id)
 		if !errors.Is(err, store.ErrLeaseExpired) {
 			return err
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -48,7 +48,7 @@
 
 // followerBackoff applies to daemons that poll because no reader answers, which mostly
 // means that the store is down for all.
-var followerBackoff = mirror.Backoff{Min: 600 * time.Millisecond, Max: 1200 * time.Millisecond}
+var followerBackoff = mirror.Backoff{Min: time.Second, Max: 2 * time.Second}
 
 // usesReaders reports whether the daemons follow readers without a coordinator.
 func (d *Daemon) usesReaders() bool {
