Keep short leases of announcements where a dead daemon must be unlisted soon

Change: 15 s only where the contact bound is 4 s or more; a new coordinator names those that never reported after 1.5 s; a daemon doesn't name a coordinator that it can't reach.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -221,6 +221,13 @@
 	return nil, false
 }
 
+// Connected reports whether the coordinator counts as reachable, or none was known yet.
+func (a *Agent) Connected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.connected || a.lastResponse == 0
+}
+
 // recordFailure records a failed report. It logs and calls OnLost once per
 // outage, and returns the time since the coordinator's last response.
 func (a *Agent) recordFailure(reason string) time.Duration {
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -29,7 +29,7 @@
 	silentAfter = 1200 * time.Millisecond
 	// firstReportTime is the time after a daemon acquired the duty within which all
 	// others report to it. Those that have not are silent.
-	firstReportTime = 3 * time.Second
+	firstReportTime = 1500 * time.Millisecond
 	// summaryInterval is how long the silent daemons and the request rate are kept
 	// that are sent in each response. To collect them takes time in proportion to the
 	// number of daemons.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -146,11 +146,17 @@
 	d.members = newMembers(p.Store, log, member{
 		Name: s.Name, Incarnation: d.civil.Now().UnixMilli(), DataCentre: s.DataCentre,
 		Callers: s.CallersAddress, Coordinator: s.CoordinatorAddress, CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
-	})
+	}, termsFor(s.Bounds.Contact))
 	d.instances.DaemonCount = d.members.count
 	d.peers = peer.NewPool(peerIdleTimeout, time.Now)
 	d.link = &coordinatorLink{log: log, self: s.CoordinatorAddress, members: d.members, peers: d.peers, avoidedUntil: map[string]time.Duration{}, vacated: make(chan struct{}, 1)}
 	d.link.dial = d.link.dialPeer
+	d.members.unreachable = func() string {
+		if d.agent.Connected() {
+			return ""
+		}
+		return d.link.lostHolder()
+	}
 	d.state = &state{
 		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyRolloutChange,
 	}
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -64,6 +64,17 @@
 	return l.changedAt
 }
 
+// lostHolder returns the latest known holder, which may no longer be one, unless it is
+// this daemon.
+func (l *coordinatorLink) lostHolder() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lastHolder == l.self {
+		return ""
+	}
+	return l.lastHolder
+}
+
 func (l *coordinatorLink) setHolder(address string) {
 	l.mu.Lock()
 	old := l.holder
