Confirm the end of an outage with a short poll

Cause: after an outage without changes, the poll for instances waited for 8 s, and the mirror counted as failing until then, so that neither a coordinator nor a reader forwarded it.

Change: the first poll after a failure waits 50 ms. The stall timer follows whether the stream can be resumed after its latest event.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// firstPollWait is the wait of the first poll after a time without polls, so that
-	// the copy is soon known to be current.
+	// firstPollWait is the wait of the first poll after a failure or a time without
+	// polls, so that the copy is soon known to be current.
 	firstPollWait = 50 * time.Millisecond
 	// maxHoldOff is the longest time for which Config.HoldOff keeps the mirror from
 	// polling.
@@ -276,7 +276,7 @@
 // poll waits for changes and applies them. A pending removal shortens the wait.
 func (m *Mirror) poll(ctx context.Context) error {
 	wait := m.config.MaxPollWait()
-	if m.PollRequired() && m.config.Now()-time.Duration(m.polledAt.Load()) > relayTimeout {
+	if m.failing.Load() || m.PollRequired() && m.PolledAge() > relayTimeout {
 		wait = firstPollWait
 	}
 	if due, pending := m.nextRemovalDue(); pending {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -328,3 +328,23 @@
 	g.Consistently(func() bool { return m.PolledAge() < 100*time.Millisecond }, time.Second, 150*time.Millisecond).Should(BeFalse())
 	g.Eventually(m.PolledAge, 5*time.Second, 10*time.Millisecond).Should(BeNumerically("<", 100*time.Millisecond))
 }
+
+// After an outage without changes, the next poll waits for its whole time. Guards
+// against a mirror that counts as failing until then, so that it is not forwarded.
+func TestMirrorRecoversBeforeTheNextChange(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 2}
+	m := mirror.New(mirror.Config{
+		Store: s, Log: slog.New(slog.DiscardHandler), MaxPollWait: func() time.Duration { return 5 * time.Second },
+		PollPause: func() time.Duration { return 0 }, Now: bootclock.Now, OnChange: func(mirror.Change) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }()
+	g.Eventually(m.Synced).Should(BeTrue())
+	s.set(func(s *fakeStore) { s.down = true })
+	m.InterruptPoll()
+	g.Eventually(m.Failing).Should(BeTrue())
+	s.set(func(s *fakeStore) { s.down = false })
+	g.Eventually(m.Failing, 2*time.Second).Should(BeFalse())
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -26,18 +26,15 @@
 // stallTimer cancels an attempt when no event of its stream has come for some time.
 // Comments and parts of events don't count as progress: an instance that sent only
 // these would otherwise keep the request until its deadline.
-type stallTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
-}
+type stallTimer struct{ timer *time.Timer }
 
 // newStallTimer starts a timer that calls cancel after timeout.
 func newStallTimer(timeout time.Duration, cancel context.CancelCauseFunc) *stallTimer {
-	return &stallTimer{timeout: timeout, timer: time.AfterFunc(timeout, func() { cancel(errStalled) })}
+	return &stallTimer{time.AfterFunc(timeout, func() { cancel(errStalled) })}
 }
 
-// progress restarts the timer.
-func (s *stallTimer) progress() { s.timer.Reset(s.timeout) }
+// progress restarts the timer with a timeout.
+func (s *stallTimer) progress(timeout time.Duration) { s.timer.Reset(timeout) }
 
 func (s *stallTimer) stop() { s.timer.Stop() }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -75,7 +75,7 @@
 			pending.data = append(pending.data[:0], pending.data[complete:]...)
 		}
 		if progress {
-			stall.progress()
+			stall.progress(q.stallTimeout(stream))
 		}
 		switch {
 		case errors.Is(err, io.EOF) && stall != nil && !containsEvent(pending.data):
