--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,11 +116,13 @@
 	agent       *coordination.Agent
 	reporter    *metering.Reporter
 	relay       *relay.Relay
-	civil       *bootclock.Civil
-	estimator   *scaling.Estimator
-	scaler      *scaling.Duty
-	splitter    *rollout.Splitter
-	rollouts    *rollout.Duty
+	// requestMemory and replyMemory limit what the relay buffers.
+	requestMemory, replyMemory *relay.MemoryBudget
+	civil                      *bootclock.Civil
+	estimator                  *scaling.Estimator
+	scaler                     *scaling.Duty
+	splitter                   *rollout.Splitter
+	rollouts                   *rollout.Duty
 
 	position mirrorPosition
 	deflater deflater
@@ -250,6 +252,7 @@
 		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: instanceIdleTimeout,
 	})
 	d.instances.OnRemove = pool.CloseIdle
+	d.requestMemory, d.replyMemory = memoryBudget(s, requestMemoryShare), memoryBudget(s, replyMemoryShare)
 	d.relay = relay.New(relay.Options{
 		Clock: d.clock, Log: d.log, Headers: d.platform.Headers, Configuration: d.state, Instances: d.instances, Pool: pool,
 		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.count), Versions: d.splitter,
@@ -334,6 +337,7 @@
 	s := d.settings
 	d.log.Info("daemon started", "name", s.Name, "data_centre", s.DataCentre, "callers", s.CallersAddress,
 		"coordinator", s.CoordinatorAddress, "store", s.StoreAddress)
+	d.registerGauges()
 	servers, err := d.listen()
 	if err != nil {
 		return err
--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -26,6 +26,9 @@
 // NewMemoryBudget returns a budget of limit bytes.
 func NewMemoryBudget(limit int64) *MemoryBudget { return &MemoryBudget{limit: limit} }
 
+// Used returns the bytes that are buffered.
+func (b *MemoryBudget) Used() int64 { return b.used.Load() }
+
 // take reserves n bytes and reports whether they were available.
 func (b *MemoryBudget) take(n int) bool {
 	if b == nil {
