Tell a killed process by its signal alone

Cause: the linter takes the name Signaled for a misspelling. Change: WaitStatus.Signal is -1 for a process that no signal ended.

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -242,7 +242,7 @@
 // killed reports whether a process has ended by SIGKILL, which only the soak sends.
 func killed(process *exec.Cmd) bool {
 	status, ok := process.ProcessState.Sys().(syscall.WaitStatus)
-	return ok && status.Signaled() && status.Signal() == syscall.SIGKILL
+	return ok && status.Signal() == syscall.SIGKILL
 }
 
 // exits describes the processes that ended with an error, and not by SIGKILL.
