Don't take buffers of the usual size from the memory budget

The gauges of the budgets showed others than those in use.

Change: the first 4 KiB of a buffer are free; the relay gets the budgets that the gauges show; the tests of the relay have the budgets of a small machine.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -257,7 +257,7 @@
 		Clock: d.clock, Log: d.log, Headers: d.platform.Headers, Configuration: d.state, Instances: d.instances, Pool: pool,
 		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.count), Versions: d.splitter,
 		Demand:        d.estimator,
-		RequestMemory: memoryBudget(s, requestMemoryShare), ReplyMemory: memoryBudget(s, replyMemoryShare),
+		RequestMemory: d.requestMemory, ReplyMemory: d.replyMemory,
 		DataCentre: s.DataCentre, DaemonCount: d.members.count, MaxKeyAge: s.Bounds.KeyRevocation - keyCheckMargin,
 		OnRequest: func() { d.rate.count.Add(1) },
 		Draining:  d.draining.Load, RefuseDuringShutdown: func(deadline time.Time) bool { return d.stopping.Load().refuses(time.Now(), deadline) },
--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -7,9 +7,18 @@
 	"github.com/pkg/errors"
 )
 
-// minBufferBytes is the first size of a buffer.
+// minBufferBytes is the first size of a buffer. It is not taken from the budget, so that
+// requests and replies of the usual size are served when the budget is used up.
 const minBufferBytes = 4 << 10
 
+// charge returns the part of the budget that a buffer of some capacity takes.
+func charge(capacity int) int {
+	if capacity <= minBufferBytes {
+		return 0
+	}
+	return capacity
+}
+
 var (
 	errBufferMemory = errors.New("memory for buffers is used up")
 	errBodyTooLarge = errors.New("body too large")
@@ -59,12 +68,12 @@
 		return nil
 	}
 	size := max(minBufferBytes, 2*cap(b.data), len(b.data)+n)
-	if !b.budget.take(size) {
+	if !b.budget.take(charge(size)) {
 		return errBufferMemory
 	}
 	grown := make([]byte, len(b.data), size)
 	copy(grown, b.data)
-	b.budget.release(cap(b.data))
+	b.budget.release(charge(cap(b.data)))
 	b.data = grown
 	return nil
 }
@@ -100,6 +109,6 @@
 
 // free gives the memory back. The data must not be used afterwards.
 func (b *buffer) free() {
-	b.budget.release(cap(b.data))
+	b.budget.release(charge(cap(b.data)))
 	b.data = nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -102,8 +102,10 @@
 		Clock: clock, Log: log, Headers: platform.Headers{}, Configuration: s, Instances: s.set, Pool: pool,
 		Quota: quota{s}, Meter: s, RetryBudget: s, Versions: s, Demand: s, MaxKeyAge: 4500 * time.Millisecond,
 		DaemonCount: func() int { return 1 },
-		OnRequest:   func() {},
-		Draining:    func() bool { return false }, RefuseDuringShutdown: func(deadline time.Time) bool { return s.shuttingDown.Load() && time.Until(deadline) > time.Second },
+		// As on a machine with 160 MB.
+		RequestMemory: relay.NewMemoryBudget(20 << 20), ReplyMemory: relay.NewMemoryBudget(10 << 20),
+		OnRequest: func() {},
+		Draining:  func() bool { return false }, RefuseDuringShutdown: func(deadline time.Time) bool { return s.shuttingDown.Load() && time.Until(deadline) > time.Second },
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
