Describe what follow does, and drop an override of a test

Cause: read as a newcomer: the comment named another function, and the test's client claimed to copy messages, which it didn't. Change: comments and test code only. Measured: lint and the tests of internal/edge pass.

--- a/internal/edge/fleetload_test.go
+++ b/internal/edge/fleetload_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -232,9 +231,6 @@
 
 func (c storeClient) Close() error { return nil }
 
-// inProcess calls a daemon in the same process.
-type inProcess struct{ localClient }
-
 // newFleet returns daemons on large and small machines in five data centres that share
 // a store, and call each other without a network. Calls of a daemon in stopped fail.
 func newFleet(t *testing.T, n int, shared *sharedStore, stopped *sync.Map) []*Daemon {
@@ -263,7 +259,7 @@
 			if _, down := stopped.Load(address); down || other == nil {
 				return nil, status.Error(codes.Unavailable, "down")
 			}
-			return inProcess{localClient{coordinatorServer{other.coordinator, other}}}, nil
+			return localClient{coordinatorServer{other.coordinator, other}}, nil
 		}
 		byAddress[s.CoordinatorAddress] = d
 		daemons[i] = d
@@ -271,13 +267,7 @@
 	return daemons
 }
 
-// Report implements coordinatorv1.CoordinatorClient. It copies the messages, as a
-// network does.
-func (c inProcess) Report(ctx context.Context, r *coordinatorv1.ReportRequest, _ ...grpc.CallOption) (*coordinatorv1.ReportResponse, error) {
-	return c.localClient.Report(ctx, r)
-}
-
-// run starts the duties that follow the store.
+// runForTest starts the duties that follow the store.
 func (d *Daemon) runForTest(ctx context.Context) {
 	for _, run := range []func(context.Context) error{
 		d.state.operator.Run, d.state.fleet.Run, d.agent.Run, d.followReaders, d.holder.Run, d.announce,
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -147,8 +147,8 @@
 	return false
 }
 
-// Follow implements coordinatorv1.CoordinatorServer. A daemon whose mirrors are not
-// current begins to poll the store.
+// follow returns the changes that a follower lacks. A daemon whose mirrors are not
+// current begins to poll the store, and answers a later call.
 func (d *Daemon) follow(r *coordinatorv1.FollowRequest) (*coordinatorv1.FollowResponse, error) {
 	fromCoordinator := bootclock.Now()-time.Duration(d.coordinatorRelay.Load()) <= relayGrace
 	if !fromCoordinator && !d.holder.Valid() {
