Tell crashes of instances from failed requests, and serve metrics on a fixed port

Change: internal/crashwatch connects to an instance at which a request broke off; if it accepts no connection and has not announced its end, 'instance crashed' names the parts of the prompts. rudder_instance_crashes_total counts.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/cloudduty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
@@ -115,6 +116,7 @@
 	coordinator *coordination.Coordinator
 	agent       *coordination.Agent
 	reporter    *metering.Reporter
+	crashes     *crashwatch.Watch
 	relay       *relay.Relay
 	// requestMemory and replyMemory limit what the relay buffers.
 	requestMemory, replyMemory *relay.MemoryBudget
@@ -252,11 +254,16 @@
 		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: instanceIdleTimeout,
 	})
 	d.instances.OnRemove = pool.CloseIdle
+	d.crashes = crashwatch.New(crashwatch.Config{
+		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Serving: d.instances.Serving,
+		OnCrash: func(crashwatch.Crash) {},
+	})
 	d.requestMemory, d.replyMemory = memoryBudget(s, requestMemoryShare), memoryBudget(s, replyMemoryShare)
 	d.relay = relay.New(relay.Options{
 		Clock: d.clock, Log: d.log, Headers: d.platform.Headers, Configuration: d.state, Instances: d.instances, Pool: pool,
 		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.count), Versions: d.splitter,
 		Demand:        d.estimator,
+		Crashes:       d.crashes,
 		RequestMemory: d.requestMemory, ReplyMemory: d.replyMemory,
 		DataCentre: s.DataCentre, DaemonCount: d.members.count, MaxKeyAge: s.Bounds.KeyRevocation - keyCheckMargin,
 		OnRequest: func() { d.rate.count.Add(1) },
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -59,17 +59,25 @@
 	for address, handler := range map[string]http.Handler{
 		d.settings.ReadyAddress:     d.platform.Ready(d.Ready),
 		d.settings.DirectoryAddress: directory,
-		d.settings.MetricsAddress:   http.HandlerFunc(writeMetrics),
 	} {
 		if address == "" {
 			continue
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := auxiliaryServer(handler)
 		if err := d.serveHTTP(address, server); err != nil {
 			return nil, err
 		}
 		s.auxiliary = append(s.auxiliary, server)
 	}
+	if address := d.settings.MetricsAddress; address != "" {
+		server := auxiliaryServer(http.HandlerFunc(writeMetrics))
+		if err := d.serveHTTP(address, server); err != nil {
+			// The port is the same in all deployments, so another listener may have it.
+			d.log.Error("metrics not served", "address", address, "error", err)
+		} else {
+			s.auxiliary = append(s.auxiliary, server)
+		}
+	}
 	s.coordinator = grpc.NewServer(peer.ServerOptions()...)
 	coordinatorv1.RegisterCoordinatorServer(s.coordinator, coordinatorServer{d.coordinator, d})
 	listener, err := net.Listen("tcp", d.settings.CoordinatorAddress)
@@ -80,6 +88,10 @@
 	return s, nil
 }
 
+func auxiliaryServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 func (d *Daemon) serveHTTP(address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 )
 
 // Config holds the parameters of a Pool.
@@ -101,3 +102,13 @@
 		_ = c.Close()
 	}
 }
+
+// Reachable connects to address and closes the connection. It returns nil if the
+// instance accepted it, and an error that wraps ErrNotSent otherwise.
+func (p *Pool) Reachable(ctx context.Context, address string) error {
+	c, err := dial(ctx, address, p.config.DialTimeout, p.config.AckTimeout)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(c.Close(), "close connection")
+}
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -65,6 +65,15 @@
 	return nil
 }
 
+// Serving reports whether the instance is announced and neither leaving nor known to
+// have lost its address. An instance that isn't may end at any time.
+func (s *Set) Serving(d Description) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.current(d)
+	return i != nil && !i.Leaving && !i.displaced
+}
+
 // MarkLeaving records that the instance said in a reply that it is leaving. It gets
 // no more requests until it restarts.
 func (r *Reservation) MarkLeaving() {
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -20,8 +20,10 @@
 	HasTokens                  bool
 	// AffinityKey identifies the longest prefix of the prompt that other requests share.
 	AffinityKey  string
-	SharedTokens int    // length of that prefix
-	LastEvent    string // ID of the last event that the client has received
+	SharedTokens int // length of that prefix
+	// PromptParts are the IDs of the parts of the prompt that other requests may share.
+	PromptParts []string
+	LastEvent   string // ID of the last event that the client has received
 }
 
 // Attempt holds the values for the headers of a request to an instance.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
@@ -63,6 +64,14 @@
 	FirstEvent(service string, promptTokens, sharedTokens int, latency time.Duration)
 }
 
+// Crashes learns of requests whose connection to an instance ended without a complete
+// reply.
+type Crashes interface {
+	// Broke records such a request. The channel is closed when it is known whether the
+	// instance crashed.
+	Broke(instance fleet.Description, request crashwatch.Request) <-chan struct{}
+}
+
 // Options configure a Relay.
 type Options struct {
 	Clock         clockwork.Clock
@@ -76,6 +85,7 @@
 	RetryBudget   RetryBudget
 	Versions      Versions
 	Demand        Demand
+	Crashes       Crashes
 	DataCentre    string
 	DaemonCount   func() int // number of daemons that use the instances
 	// RequestMemory and ReplyMemory limit what all requests together buffer of request
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,6 +18,8 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/relay"
@@ -100,6 +102,9 @@
 	})
 	handler := relay.New(relay.Options{
 		Clock: clock, Log: log, Headers: platform.Headers{}, Configuration: s, Instances: s.set, Pool: pool,
+		Crashes: crashwatch.New(crashwatch.Config{
+			Log: log, Now: bootclock.Now, Connect: pool.Reachable, Serving: s.set.Serving, OnCrash: func(crashwatch.Crash) {},
+		}),
 		Quota: quota{s}, Meter: s, RetryBudget: s, Versions: s, Demand: s, MaxKeyAge: 4500 * time.Millisecond,
 		DaemonCount: func() int { return 1 },
 		// As on a machine with 160 MB.
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -35,6 +35,9 @@
 			return outcome, err.Error()
 		}
 		q.observeFailure(reservation, sent)
+		if !errors.Is(err, errBufferMemory) {
+			q.connectionBroke(reservation)
+		}
 		return lost, "truncated reply: " + err.Error()
 	}
 	latency := q.relay.options.Clock.Since(sent)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
@@ -254,9 +255,20 @@
 		return unsent, err.Error()
 	}
 	q.observeFailure(reservation, time.Time{})
+	q.connectionBroke(reservation)
 	return lost, err.Error()
 }
 
+// connectionBroke reports that the connection to the instance ended without a complete
+// reply, although neither the client nor the daemon ended the attempt.
+func (q *request) connectionBroke(reservation *fleet.Reservation) {
+	broken := crashwatch.Request{ID: q.info.ID, Parts: q.info.PromptParts}
+	if q.account != nil {
+		broken.Account = q.account.Name
+	}
+	q.relay.options.Crashes.Broke(reservation.Description, broken)
+}
+
 // contextOutcome returns the outcome of an attempt whose context has ended, and
 // false if the context has not ended.
 func (q *request) contextOutcome(ctx context.Context, reservation *fleet.Reservation) (attemptOutcome, bool) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -119,6 +119,9 @@
 	if stalled {
 		return broken, errStalled.Error()
 	}
+	if !errors.Is(err, errBufferMemory) && !errors.Is(err, io.ErrShortBuffer) {
+		q.connectionBroke(reservation)
+	}
 	if stream.started {
 		return broken, "stream broke: " + err.Error()
 	}
