--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -27,6 +27,7 @@
 	CutInEvent bool          // leaves the last event of a cut stream incomplete
 	Delay      time.Duration // before the response begins
 	EventGap   time.Duration // between events
+	CrashOn    string        // part of a prompt on which the worker crashes when it begins to write an answer
 }
 
 // Endless is what a worker sends without end instead of a response, until the
@@ -48,6 +49,7 @@
 	Path      string
 	Key       string // value of Authorization, which must not be forwarded
 	LastEvent string // value of Last-Event-Id
+	Prefix    string // value of X-Prefix-Hash
 	Body      int    // size in bytes
 }
 
@@ -64,6 +66,7 @@
 	// misdirected counts requests that were meant for another instance.
 	misdirected atomic.Int64
 	refused     atomic.Int64
+	crashed     atomic.Bool
 
 	mu   sync.Mutex
 	runs []Run
@@ -104,6 +107,9 @@
 // Misdirected returns the number of requests that were meant for another instance.
 func (w *Worker) Misdirected() int { return int(w.misdirected.Load()) }
 
+// Crashed reports whether the worker crashed on a part of a prompt.
+func (w *Worker) Crashed() bool { return w.crashed.Load() }
+
 // Refused returns the number of requests that the worker refused.
 func (w *Worker) Refused() int { return int(w.refused.Load()) }
 
@@ -156,6 +162,7 @@
 	w.runs = append(w.runs, Run{
 		RequestID: r.Header.Get("X-Request-Id"), Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI,
 		Key: r.Header.Get("Authorization"), LastEvent: r.Header.Get("Last-Event-Id"), Body: body,
+		Prefix: r.Header.Get("X-Prefix-Hash"),
 	})
 	w.mu.Unlock()
 	select {
@@ -164,6 +171,11 @@
 	case <-time.After(b.Delay):
 	}
 	rw.Header().Set("X-Response-Seal", w.ID+"."+r.Header.Get("X-Request-Id"))
+	if b.CrashOn != "" && strings.Contains(r.Header.Get("X-Prefix-Hash"), b.CrashOn) {
+		w.crashed.Store(true)
+		w.Stop()
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case b.Endless != "":
 		sendEndless(rw, r, b.Endless)
