Quarantine parts of prompts that crash instances

Cause: nothing related the crash of an instance to the requests that it was running. Each request with the part is a new one, so that neither the attempts of a route nor the retry budget bound them, and the health of an instance starts anew with its next incarnation. Class of fault: the breaker's key is the server, the cause is the request. Evidence: 'instance crashed' shows one request with the same parts at each crash. Change: pkg/crashguard blames parts that were there at several crashes and that no request completes with; requests with them are refused (code 1305, 503) and not repeated. All daemons hold the same state, which only grows: exchanged with reports to the coordinator, with the deputy while there is none, and kept at serving/crashes for a loss of all machines. An account that was there at each crash is refused alone, so that one caller can't get the requests of others refused; parts that are always together are refused together only.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -1,5 +1,5 @@
 // Package coordination manages the state that all daemons share: account
-// quotas, usage counts and the load of instances. The Agent of each daemon
+// quotas, usage counts, the load of instances and what is known of their crashes. The Agent of each daemon
 // reports to the Coordinator, which runs on the daemon that holds the
 // coordinator duty. While there is no coordinator, each daemon uses only a
 // fixed share of every quota, so that the daemons together stay within it.
@@ -16,6 +16,7 @@
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
 const (
@@ -87,6 +88,8 @@
 	// SlackShare returns the part of the quota slack that this daemon may use
 	// without a coordinator, in cost units.
 	SlackShare func() float64
+	// Crashes is what the daemon knows of instances that crashed.
+	Crashes *crashguard.Guard
 	// Demand returns the service demand to report.
 	Demand func() []*coordinatorv1.ServiceDemand
 	// Rate returns the requests per second that the daemon receives.
@@ -105,7 +108,8 @@
 // Agent is the client side of coordination in each daemon. It implements
 // relay.Quota and relay.Meter.
 type Agent struct {
-	config AgentConfig
+	config  AgentConfig
+	crashes crashExchange
 
 	mu                 sync.Mutex
 	sequence           int64
@@ -138,7 +142,9 @@
 
 // NewAgent returns an agent without credit.
 func NewAgent(config AgentConfig) *Agent {
-	return &Agent{config: config, credits: map[string]*credit{}, windows: map[int64]map[string]int64{}}
+	return &Agent{
+		config: config, credits: map[string]*credit{}, windows: map[int64]map[string]int64{}, crashes: crashExchange{guard: config.Crashes},
+	}
 }
 
 // Run sends reports until ctx is done.
@@ -177,7 +183,7 @@
 	client, ok := a.config.Link.Coordinator()
 	if !ok {
 		a.recordFailure("no coordinator is known")
-		a.joinPool(ctx)
+		a.shareWithDeputy(ctx)
 		return false
 	}
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -186,7 +192,7 @@
 	response, err := client.Report(call, request)
 	if err != nil {
 		if a.recordFailure(err.Error()) >= useDeputyAfter {
-			a.joinPool(ctx)
+			a.shareWithDeputy(ctx)
 		}
 		return false
 	}
@@ -194,23 +200,16 @@
 	return true
 }
 
-// joinPool adds this daemon's share to the deputy's pool before a request needs
-// it, by a borrow call without an account.
-func (a *Agent) joinPool(ctx context.Context) {
-	a.askDeputy(ctx, reportTimeout, "", 0)
-}
-
-// askDeputy asks the deputy for units of an account's quota. If the call fails,
-// another deputy is chosen for the next one, unless ctx was cancelled, for
-// example because the client disconnected.
-func (a *Agent) askDeputy(ctx context.Context, timeout time.Duration, account string, units float64) (*coordinatorv1.BorrowResponse, bool) {
+// askDeputy calls the deputy. If the call fails, another deputy is chosen for the next
+// one, unless ctx was cancelled, for example because the client disconnected.
+func (a *Agent) askDeputy(ctx context.Context, timeout time.Duration, request *coordinatorv1.BorrowRequest) (*coordinatorv1.BorrowResponse, bool) {
 	client, address, ok := a.config.Link.Deputy()
 	if !ok {
 		return nil, false
 	}
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := client.BorrowPooled(call, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account, Units: units})
+	response, err := client.BorrowPooled(call, request)
 	if err == nil {
 		return response, true
 	}
@@ -285,6 +284,7 @@
 	a.mu.Unlock()
 	request.Evidence = a.config.Evidence()
 	request.Fleet, request.Operator = a.config.Cursors()
+	request.Crashes = a.crashes.request()
 	return request
 }
 
@@ -305,6 +305,7 @@
 		loads[l.Instance] = fleet.Load{Inflight: int(l.Inflight), PrefillTokens: int(l.PrefillTokens)}
 	}
 	a.config.Instances.SetRemoteLoads(loads)
+	a.crashes.apply(response.Crashes)
 	a.config.OnResponse(response, sent)
 }
 
@@ -361,7 +362,7 @@
 
 // borrowPooled asks the deputy for the missing units.
 func (a *Agent) borrowPooled(ctx context.Context, account *traffic.Account, cost, missing float64) (answered, granted bool, wait time.Duration) {
-	response, ok := a.askDeputy(ctx, borrowTimeout, account.Name, missing)
+	response, ok := a.askDeputy(ctx, borrowTimeout, &coordinatorv1.BorrowRequest{Daemon: a.config.Daemon, Account: account.Name, Units: missing})
 	if !ok {
 		return false, false, 0
 	}
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -19,6 +19,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store/storetest"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
 // testFleet is a group of daemons on a fake clock. At most one of them is the
@@ -33,6 +34,7 @@
 	tokens       []int64
 	agents       []*coordination.Agent
 	links        []*testLink
+	guards       []*crashguard.Guard
 	names        []string
 	rates        []float64 // requests per second that each daemon receives
 }
@@ -43,6 +45,8 @@
 	deputy     *coordination.Coordinator
 	cut        bool // all calls fail
 	avoidCalls int  // calls of AvoidDeputy
+	// observed is the last report.
+	observed *coordinatorv1.ReportRequest
 }
 
 func (l *testLink) Deputy() (coordinatorv1.CoordinatorClient, string, bool) {
@@ -66,6 +70,7 @@
 	if c.link.cut {
 		return nil, status.Error(codes.Unavailable, "cut")
 	}
+	c.link.observed = r
 	return c.link.target.Report(ctx, r)
 }
 
@@ -105,10 +110,12 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	for i := range n {
+		guard := crashguard.New(crashguard.Config{Now: f.now, Daemons: func() int { return n }, OnChange: func(string, bool, int, []string) {}})
+		f.guards = append(f.guards, guard)
 		f.names = append(f.names, coordination.DaemonID(fmt.Sprintf("d%d", i), incarnation))
 		c := coordination.NewCoordinator(coordination.CoordinatorConfig{
 			Log: log, Token: func() int64 { return f.tokens[i] }, Table: func() *traffic.Table { return f.table },
-			Now: f.now, Civil: clock.Now, Daemons: func() int { return n }, Members: func() []string { return f.names },
+			Crashes: guard, Now: f.now, Civil: clock.Now, Daemons: func() int { return n }, Members: func() []string { return f.names },
 			Rollouts:       func() []*coordinatorv1.RolloutState { return nil },
 			Slack:          func() float64 { return slack / 2 },
 			AddMirrorDelta: func(*coordinatorv1.ReportRequest, *coordinatorv1.ReportResponse) {},
@@ -121,7 +128,7 @@
 		f.links = append(f.links, link)
 		f.agents = append(f.agents, coordination.NewAgent(coordination.AgentConfig{
 			Daemon: f.names[i], Log: log, Link: link, Instances: fleet.NewSet(clock, log), Daemons: func() int { return n },
-			Civil: clock.Now, Now: f.now, UsageWindow: 5 * time.Second,
+			Civil: clock.Now, Now: f.now, UsageWindow: 5 * time.Second, Crashes: guard,
 			SlackShare: func() float64 { return slack / 2 / float64(n) },
 			Demand:     func() []*coordinatorv1.ServiceDemand { return nil },
 			Evidence:   func() []*coordinatorv1.VersionEvidence { return nil },
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -14,6 +14,7 @@
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
 const (
@@ -58,6 +59,8 @@
 	// Slack returns how much of each quota all daemons together may use without
 	// a coordinator, in addition to a share of the rate, in cost units.
 	Slack func() float64
+	// Crashes is what this daemon knows of instances that crashed.
+	Crashes *crashguard.Guard
 	// Rollouts returns the state of each roll-out.
 	Rollouts func() []*coordinatorv1.RolloutState
 }
@@ -173,6 +176,7 @@
 		c.summary = summary{takenAt: now, silent: c.silentDaemons(), rate: c.requestRate()}
 	}
 	response.Silent, response.RequestsPerSecond = c.summary.silent, c.summary.rate
+	response.Crashes = answerCrashes(c.config.Crashes, r.Crashes)
 	c.config.AddMirrorDelta(r, response)
 	table := c.config.Table()
 	if table == nil {
@@ -224,7 +228,7 @@
 
 // BorrowPooled implements coordinatorv1.CoordinatorServer. The daemon need not
 // hold the duty. A request without an account only registers the calling daemon
-// as a member of the pool.
+// as a member of the pool and exchanges what is known of crashes.
 func (c *Coordinator) BorrowPooled(_ context.Context, r *coordinatorv1.BorrowRequest) (*coordinatorv1.BorrowResponse, error) {
 	table := c.config.Table()
 	if table == nil {
@@ -233,7 +237,11 @@
 	account := table.Accounts[r.Account]
 	if account == nil || account.Rate <= 0 {
 		c.pool.register(r.Daemon)
-		return &coordinatorv1.BorrowResponse{Units: r.Units}, nil
+		response := &coordinatorv1.BorrowResponse{Units: r.Units}
+		if r.Crashes != nil {
+			response.Crashes = answerCrashes(c.config.Crashes, r.Crashes)
+		}
+		return response, nil
 	}
 	return c.pool.borrow(account, r.Daemon, r.Units), nil
 }
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -1,5 +1,5 @@
 // Package crashwatch tells crashes of instances from other ends of connections, and
-// collects the requests that an instance was running when it crashed.
+// passes the requests that an instance was running when it crashed to a crashguard.Guard.
 package crashwatch
 
 import (
@@ -13,13 +13,14 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
 const (
 	// probeTimeout bounds the connection attempt that tells whether an instance is alive.
 	probeTimeout = 300 * time.Millisecond
-	// memory is how long the result of a probe applies to further requests that break off
-	// at the same incarnation of an instance.
+	// memory is how long a crash applies to further requests that break off at the same
+	// incarnation of an instance.
 	memory = time.Second
 	// maxInvestigations bounds the incarnations that are remembered at a time.
 	maxInvestigations = 256
@@ -29,21 +30,6 @@
 	maxLoggedParts = 16
 )
 
-// Request is a request that broke off at an instance.
-type Request struct {
-	ID      string
-	Account string   // empty if the route is public
-	Parts   []string // IDs of the parts of its prompt that other requests may share
-}
-
-// Crash is the end of one incarnation of an instance that did not announce it.
-type Crash struct {
-	Instance fleet.Description
-	// At is the time at which the first request broke off.
-	At       time.Duration
-	Requests []Request
-}
-
 // Config holds the parameters of a Watch.
 type Config struct {
 	Log *slog.Logger
@@ -53,9 +39,8 @@
 	// Serving reports whether the instance is expected to serve. One that announced its
 	// end doesn't crash.
 	Serving func(fleet.Description) bool
-	// OnCrash is called with each crash, and again with requests that turn out later to
-	// have broken off in it.
-	OnCrash func(Crash)
+	// Guard receives the requests that broke off in crashes, and those that completed.
+	Guard *crashguard.Guard
 }
 
 // Watch investigates why requests broke off. It is safe for concurrent use.
@@ -63,7 +48,7 @@
 	config Config
 
 	mu             sync.Mutex
-	investigations map[incarnation]*investigation
+	investigations map[incarnation]*Investigation
 }
 
 // incarnation identifies one start of an instance.
@@ -73,24 +58,88 @@
 	address string
 }
 
-// investigation is the search for the reason why requests broke off at an incarnation.
-type investigation struct {
-	began    time.Duration
-	requests []Request     // not yet passed to OnCrash
-	done     chan struct{} // closed when the reason is known
-	crashed  bool          // valid when done is closed
+// Investigation is the search for the reason why requests broke off at one incarnation
+// of an instance.
+type Investigation struct {
+	began    time.Duration        // when the first request broke off
+	requests []crashguard.Request // not yet passed to the Guard
+	done     chan struct{}        // closed when the reason is known
+	reason   Reason               // valid when done is closed
+}
+
+// Reason is why requests broke off.
+type Reason int
+
+// Reasons.
+const (
+	// Unknown means that the instance had announced its end, or that it was not examined.
+	Unknown Reason = iota
+	// Alive means that the instance accepts connections: only the request failed.
+	Alive
+	// Crashed means that the instance accepts no connection.
+	Crashed
+)
+
+// unexamined is the investigation of instances that are not examined.
+var unexamined = func() *Investigation {
+	i := &Investigation{done: make(chan struct{})}
+	close(i.done)
+	return i
+}()
+
+// Wait waits until the reason is known or ctx ends.
+func (i *Investigation) Wait(ctx context.Context) Reason {
+	select {
+	case <-i.done:
+		return i.reason
+	case <-ctx.Done():
+		return Unknown
+	}
+}
+
+func (i *Investigation) isDone() bool {
+	select {
+	case <-i.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // New returns a Watch without investigations.
 func New(config Config) *Watch {
-	return &Watch{config: config, investigations: map[incarnation]*investigation{}}
+	return &Watch{config: config, investigations: map[incarnation]*Investigation{}}
+}
+
+// Refuses reports whether a request must not be sent, as Guard.Refuses does.
+func (w *Watch) Refuses(r crashguard.Request, repeat bool) (bool, time.Duration) {
+	return w.config.Guard.Refuses(r, repeat)
+}
+
+// Completed records a request whose reply has ended without an error. If the reply was
+// not framed, its end may as well be that of the instance, so that the instance must
+// still accept connections.
+func (w *Watch) Completed(instance fleet.Description, r crashguard.Request, framed bool) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	if framed {
+		w.config.Guard.Completed(r)
+		return
+	}
+	i := w.Broke(instance, r)
+	go func() {
+		if i.Wait(context.Background()) == Alive {
+			w.config.Guard.Completed(r)
+		}
+	}()
 }
 
 // Broke records that the connection of a request to an instance ended without a
-// complete reply. The channel is closed when it is known whether the instance crashed.
-func (w *Watch) Broke(instance fleet.Description, request Request) <-chan struct{} {
-	if !w.config.Serving(instance) {
-		return closed
+// complete reply.
+func (w *Watch) Broke(instance fleet.Description, r crashguard.Request) *Investigation {
+	if len(r.Parts) == 0 || !w.config.Serving(instance) {
+		return unexamined
 	}
 	key := incarnation{instance.ID, instance.Incarnation, instance.Address}
 	w.mu.Lock()
@@ -102,56 +151,46 @@
 		}
 	}
 	i := w.investigations[key]
-	if i == nil {
+	if i == nil || i.isDone() && i.reason == Alive {
 		if len(w.investigations) >= maxInvestigations {
-			return closed
+			return unexamined
 		}
-		i = &investigation{began: now, done: make(chan struct{})}
+		i = &Investigation{began: now, done: make(chan struct{})}
 		w.investigations[key] = i
 		go w.investigate(instance, i)
 	}
-	select {
-	case <-i.done:
-		if i.crashed {
-			w.config.OnCrash(Crash{Instance: instance, At: i.began, Requests: []Request{request}})
-		}
-	default:
-		if len(i.requests) < maxRequests {
-			i.requests = append(i.requests, request)
-		}
+	switch {
+	case i.isDone():
+		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, []crashguard.Request{r})
+	case len(i.requests) < maxRequests:
+		i.requests = append(i.requests, r)
 	}
-	return i.done
+	return i
 }
 
-var closed = func() chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
-// investigate connects to an instance at which a request broke off. One that accepts
-// the connection is alive, so that only the request failed.
-func (w *Watch) investigate(instance fleet.Description, i *investigation) {
+// investigate connects to an instance at which a request broke off.
+func (w *Watch) investigate(instance fleet.Description, i *Investigation) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := w.config.Connect(ctx, instance.Address)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(i.done)
-	if i.crashed = err != nil && w.config.Serving(instance); !i.crashed {
-		return
+	if err == nil {
+		i.reason = Alive
+	} else {
+		i.reason = Crashed
+		metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
+		w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
+			"requests", len(i.requests), "parts", parts(i.requests), "error", err)
+		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, i.requests)
 	}
-	crash := Crash{Instance: instance, At: i.began, Requests: i.requests}
-	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
-	w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
-		"requests", len(crash.Requests), "parts", crash.parts(), "error", err)
-	w.config.OnCrash(crash)
 }
 
-// parts returns the parts of the prompts of the requests.
-func (c Crash) parts() []string {
+// parts returns the parts of the prompts of requests, for the log.
+func parts(requests []crashguard.Request) []string {
 	var parts []string
-	for _, r := range c.Requests {
+	for _, r := range requests {
 		parts = append(parts, r.Parts...)
 	}
 	slices.Sort(parts)
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
 // Guards against failed requests, and the planned end of an instance, being taken for a
@@ -19,7 +20,7 @@
 	for name, c := range map[string]struct {
 		connect error
 		serving bool
-		want    int // requests that broke off in a crash
+		want    int // parts that were there at a crash
 	}{
 		"alive":   {nil, true, 0},
 		"crashed": {errors.New("connection refused"), true, 3},
@@ -27,25 +28,48 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			broken := 0
-			began := time.Now()
+			now := func() time.Duration { return time.Minute }
+			guard := crashguard.New(crashguard.Config{
+				Now: now, Daemons: func() int { return 1 }, OnChange: func(string, bool, int, []string) {},
+			})
 			release := make(chan struct{})
 			w := crashwatch.New(crashwatch.Config{
-				Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(began) },
+				Log: slog.New(slog.DiscardHandler), Now: now, Guard: guard,
 				Connect: func(context.Context, string) error {
 					<-release
 					return c.connect
 				},
 				Serving: func(fleet.Description) bool { return c.serving },
-				OnCrash: func(crash crashwatch.Crash) { broken += len(crash.Requests) },
 			})
 			instance := fleet.Description{ID: "i", Address: "10.0.0.1:80"}
-			w.Broke(instance, crashwatch.Request{ID: "1", Parts: []string{"a"}})
-			done := w.Broke(instance, crashwatch.Request{ID: "2", Parts: []string{"a", "b"}})
+			w.Broke(instance, crashguard.Request{Parts: []string{"a"}})
+			search := w.Broke(instance, crashguard.Request{Parts: []string{"a", "b"}})
 			close(release)
-			g.Eventually(done).Should(BeClosed())
-			g.Eventually(w.Broke(instance, crashwatch.Request{ID: "3"})).Should(BeClosed())
-			g.Expect(broken).To(Equal(c.want))
+			search.Wait(t.Context())
+			w.Broke(instance, crashguard.Request{Parts: []string{"c"}}).Wait(t.Context())
+			state, _ := guard.Export()
+			g.Expect(state).To(HaveLen(c.want))
 		})
 	}
 }
+
+// A reply without a length ends with its connection, also when the instance crashes.
+// Guards against taking such an end for a completed request, which would acquit the part
+// that crashed the instance.
+func TestEndOfConnectionIsNoCompletionIfTheInstanceCrashed(t *testing.T) {
+	g := NewWithT(t)
+	now := func() time.Duration { return time.Minute }
+	guard := crashguard.New(crashguard.Config{
+		Now: now, Daemons: func() int { return 1 }, OnChange: func(string, bool, int, []string) {},
+	})
+	w := crashwatch.New(crashwatch.Config{
+		Log: slog.New(slog.DiscardHandler), Now: now, Guard: guard,
+		Connect: func(context.Context, string) error { return errors.New("connection refused") },
+		Serving: func(fleet.Description) bool { return true },
+	})
+	w.Completed(fleet.Description{ID: "i"}, crashguard.Request{Parts: []string{"a"}}, false)
+	g.Eventually(func() int {
+		state, _ := guard.Export()
+		return len(state)
+	}).Should(Equal(1))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
 )
 
@@ -117,6 +118,7 @@
 	agent       *coordination.Agent
 	reporter    *metering.Reporter
 	crashes     *crashwatch.Watch
+	crashGuard  *crashguard.Guard
 	relay       *relay.Relay
 	// requestMemory and replyMemory limit what the relay buffers.
 	requestMemory, replyMemory *relay.MemoryBudget
@@ -162,7 +164,7 @@
 		return d.link.lostHolder()
 	}
 	d.state = &state{
-		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyRolloutChange,
+		log: log, reader: p.Reader, instances: d.instances, members: d.members, link: d.link, onOther: d.applyOtherChange,
 	}
 	d.buildMirrors()
 	d.holder = lease.New(lease.Config{
@@ -176,6 +178,7 @@
 		Evidence: d.fleetEvidence, Status: p.Reader.RolloutStatus,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
+	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.count, OnChange: d.logQuarantine})
 	d.buildCoordination()
 	d.buildRelay()
 	return d
@@ -222,15 +225,15 @@
 		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
 		AddMirrorDelta: d.addMirrorDelta,
 		Members:        d.members.reportIDs, Civil: d.civil.Now,
-		Rollouts: d.rolloutStates,
-		Slack:    func() float64 { return s.Bounds.QuotaSlack / 2 },
+		Rollouts: d.rolloutStates, Crashes: d.crashGuard,
+		Slack: func() float64 { return s.Bounds.QuotaSlack / 2 },
 	})
 	d.link.local = coordinatorServer{d.coordinator, d}
 	d.agent = coordination.NewAgent(coordination.AgentConfig{
 		Daemon: reportID(d.members.self), Log: d.log, Link: d.link, Instances: d.instances,
 		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
 		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.count()) },
-		Demand:     d.serviceDemand,
+		Crashes:    d.crashGuard, Demand: d.serviceDemand,
 		Evidence:   d.versionEvidence,
 		Rate:       func() float64 { return d.rate.update(bootclock.Now()) },
 		Cursors:    d.mirrorCursors,
@@ -256,7 +259,7 @@
 	d.instances.OnRemove = pool.CloseIdle
 	d.crashes = crashwatch.New(crashwatch.Config{
 		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Serving: d.instances.Serving,
-		OnCrash: func(crashwatch.Crash) {},
+		Guard: d.crashGuard,
 	})
 	d.requestMemory, d.replyMemory = memoryBudget(s, requestMemoryShare), memoryBudget(s, replyMemoryShare)
 	d.relay = relay.New(relay.Options{
@@ -386,6 +389,7 @@
 		{serving, duty.Duty{Name: "announce", Run: d.announce}},
 		{serving, duty.Duty{Name: "lease", Run: d.holder.Run}},
 		{serving, duty.Duty{Name: "roll-outs", Run: d.rollouts.Run}},
+		{serving, duty.Duty{Name: "crash record", Run: d.keepCrashes}},
 	}
 	if d.settings.CloudAddress != "" {
 		if d.settings.HasDuty("metering") {
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -8,9 +8,13 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
 )
 
-// applyRolloutChange applies a change of a roll-out order or record in the store.
-// It ignores other keys.
-func (d *Daemon) applyRolloutChange(c mirror.Change) {
+// applyOtherChange applies a change of the record of crashes, or of a roll-out order or
+// record in the store. It ignores other keys.
+func (d *Daemon) applyOtherChange(c mirror.Change) {
+	if c.Key == crashesKey {
+		d.applyCrashRecord(c)
+		return
+	}
 	if strings.HasPrefix(c.Key, rollout.KeyPrefix) {
 		d.applyRecord(c)
 		return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -181,6 +181,10 @@
 	return n, err
 }
 
+// Framed reports whether the end of the body shows in the reply itself, and not just as
+// the end of the connection.
+func (r *Reply) Framed() bool { return r.Length >= 0 || len(r.response.TransferEncoding) > 0 }
+
 // Complete reports whether the whole body was read.
 func (r *Reply) Complete() bool {
 	if !r.bodyRead {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
 
@@ -64,12 +65,17 @@
 	FirstEvent(service string, promptTokens, sharedTokens int, latency time.Duration)
 }
 
-// Crashes learns of requests whose connection to an instance ended without a complete
-// reply.
+// Crashes keeps requests from instances that crash on parts of their prompts.
 type Crashes interface {
-	// Broke records such a request. The channel is closed when it is known whether the
-	// instance crashed.
-	Broke(instance fleet.Description, request crashwatch.Request) <-chan struct{}
+	// Refuses reports whether a request must not be sent, and the time after which another
+	// one like it may be. repeat tells that it has broken off at an instance before.
+	Refuses(r crashguard.Request, repeat bool) (refused bool, retryAfter time.Duration)
+	// Broke records a request whose connection to an instance ended without a complete
+	// reply, and finds out whether the instance crashed.
+	Broke(instance fleet.Description, r crashguard.Request) *crashwatch.Investigation
+	// Completed records a request whose reply has ended without an error. framed tells
+	// that the reply stated its length, or was chunked.
+	Completed(instance fleet.Description, r crashguard.Request, framed bool)
 }
 
 // Options configure a Relay.
@@ -113,6 +119,8 @@
 	// deadlineMargin is the part of the client's deadline that is reserved for
 	// sending the response.
 	deadlineMargin = 10 * time.Millisecond
+	// promptQuarantinedDetail is the detail of result.PromptQuarantined.
+	promptQuarantinedDetail = "a part of the prompt crashes instances"
 	// defaultMaxBodyBytes limits request bodies if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -156,7 +164,11 @@
 	headWritten  bool          // the head of the response was written
 	attemptTimer *attemptTimer // of the current attempt
 	retryTaken   atomic.Bool   // the next attempt was already taken from the retry budget
-	outcome      string        // for the log
+	// brokeOff is the search for the reason why the current attempt broke off; nil if it
+	// did not.
+	brokeOff *crashwatch.Investigation
+	sent     time.Duration // when the current attempt began, on the boot clock
+	outcome  string        // for the log
 }
 
 // ServeHTTP implements http.Handler.
@@ -200,6 +212,9 @@
 	if options.RefuseDuringShutdown(q.deadline) {
 		return notExecuted(result.Draining, "the daemon stops", 0)
 	}
+	if refused, retryAfter := options.Crashes.Refuses(q.prompt(), false); refused {
+		return notExecuted(result.PromptQuarantined, promptQuarantinedDetail, retryAfter)
+	}
 	return q.takeQuota()
 }
 
@@ -293,5 +308,14 @@
 	}
 }
 
+// prompt returns what a crash of an instance may be due to.
+func (q *request) prompt() crashguard.Request {
+	r := crashguard.Request{Service: q.service.Name, Parts: q.info.PromptParts, Sent: q.sent}
+	if q.account != nil {
+		r.Account = q.account.Name
+	}
+	return r
+}
+
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return q.deadline.Sub(q.relay.options.Clock.Now()) }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/relay"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 	"github.com/dogwoodrudder/dogwoodrudder/platform"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
 )
@@ -46,6 +47,7 @@
 	mu           sync.Mutex
 	started      map[string]int // requests by account
 	workers      map[string]*worker.Worker
+	guard        *crashguard.Guard
 }
 
 func (s *fixture) Table() *traffic.Table                           { return s.table.Load() }
@@ -85,6 +87,9 @@
 	log := slog.New(slog.DiscardHandler)
 	clock := clockwork.NewRealClock()
 	s := &fixture{t: t, set: fleet.NewSet(clock, log), started: map[string]int{}, workers: map[string]*worker.Worker{}}
+	s.guard = crashguard.New(crashguard.Config{
+		Now: bootclock.Now, Daemons: func() int { return 1 }, OnChange: func(string, bool, int, []string) {},
+	})
 	s.retryBudget.Store(100)
 	account := &traffic.Account{Name: "acme", Rate: 100, Burst: 100}
 	routes := []*traffic.Route{
@@ -103,7 +108,7 @@
 	handler := relay.New(relay.Options{
 		Clock: clock, Log: log, Headers: platform.Headers{}, Configuration: s, Instances: s.set, Pool: pool,
 		Crashes: crashwatch.New(crashwatch.Config{
-			Log: log, Now: bootclock.Now, Connect: pool.Reachable, Serving: s.set.Serving, OnCrash: func(crashwatch.Crash) {},
+			Log: log, Now: bootclock.Now, Connect: pool.Reachable, Serving: s.set.Serving, Guard: s.guard,
 		}),
 		Quota: quota{s}, Meter: s, RetryBudget: s, Versions: s, Demand: s, MaxKeyAge: 4500 * time.Millisecond,
 		DaemonCount: func() int { return 1 },
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
@@ -130,12 +130,24 @@
 		return q.deadlinePassed()
 	case outcome == broken && !stream.resumable():
 		return outcomeUnknown(result.UpstreamIncomplete, "the stream broke without an event ID")
+	case outcome != refused && q.crashesInstances():
+		return outcomeUnknown(result.PromptQuarantined, promptQuarantinedDetail)
 	case !q.takeRetry():
 		return q.retriesExhausted(outcome, "the retry budget is spent")
 	}
 	return nil
 }
 
+// crashesInstances reports whether the request must not be repeated because a part of its
+// prompt has crashed instances, probably also the one at which it has just broken off.
+func (q *request) crashesInstances() bool {
+	if q.brokeOff != nil {
+		q.brokeOff.Wait(q.http.Context())
+	}
+	refused, _ := q.relay.options.Crashes.Refuses(q.prompt(), true)
+	return refused
+}
+
 // takeRetry takes a retry from the budget, unless the attempt timer has taken it
 // already.
 func (q *request) takeRetry() bool {
@@ -179,6 +191,7 @@
 		return expired, "the account keys may be out of date"
 	}
 	sent := options.Clock.Now()
+	q.brokeOff, q.sent = nil, bootclock.Now()
 	ctx, timer := q.withAttemptTimeout(ctx)
 	defer timer.release()
 	reply, err := options.Pool.Do(ctx, q.peer(reservation), q.newRequest(reservation, stream))
@@ -262,11 +275,7 @@
 // connectionBroke reports that the connection to the instance ended without a complete
 // reply, although neither the client nor the daemon ended the attempt.
 func (q *request) connectionBroke(reservation *fleet.Reservation) {
-	broken := crashwatch.Request{ID: q.info.ID, Parts: q.info.PromptParts}
-	if q.account != nil {
-		broken.Account = q.account.Name
-	}
-	q.relay.options.Crashes.Broke(reservation.Description, broken)
+	q.brokeOff = q.relay.options.Crashes.Broke(reservation.Description, q.prompt())
 }
 
 // contextOutcome returns the outcome of an attempt whose context has ended, and
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -32,6 +32,7 @@
 	UpstreamFailed      Code = 1302
 	UpstreamRefused     Code = 1303
 	UpstreamIncomplete  Code = 1304
+	PromptQuarantined   Code = 1305
 	OrderKeyMissing     Code = 1400
 	OrderKeyInvalid     Code = 1401
 	OrderKeyExpired     Code = 1402
@@ -86,6 +87,7 @@
 	UpstreamFailed:      {"upstream failed", 502, "The upstream answered with a failure."},
 	UpstreamRefused:     {"upstream refused", 503, "The upstream refused the request without executing it."},
 	UpstreamIncomplete:  {"upstream incomplete", 502, "The upstream's response ended before it was complete."},
+	PromptQuarantined:   {"prompt quarantined", 503, "Requests with a part of this prompt crashed several upstreams."},
 	OrderKeyMissing:     {"order key missing", 400, "A non-idempotent request needs an Idempotency-Key built from an order token."},
 	OrderKeyInvalid:     {"order key invalid", 400, "The Idempotency-Key carries no valid order token."},
 	OrderKeyExpired:     {"order key expired", 409, "The order token has expired; the outcome of the key is no longer known."},
