Compare how long answers of a new version take to complete

Cause: only the time to the first event was compared, by its mean, which has to double. A version that is slow to produce its answers changes it little. Change: daemons count complete answers with the logarithms of their durations; the geometric means are compared for each route and over all routes, at 4.5 standard errors and a ratio of 1.25. Result: TestBadVersionsAreReverted fails before for 'slow to complete'.

--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -41,7 +41,9 @@
 		}
 	}
 	daemons, stop := run()
-	g.Eventually(func() bool { return daemons[0].holder.Valid() || daemons[1].holder.Valid() || daemons[2].holder.Valid() }, 10*time.Second).Should(BeTrue())
+	g.Eventually(func() bool {
+		return daemons[0].holder.Valid() || daemons[1].holder.Valid() || daemons[2].holder.Valid()
+	}, 10*time.Second).Should(BeTrue())
 	for i := range 3 {
 		now := bootclock.Now()
 		daemons[i].crashGuard.Crashed(uint64(i), now, []crashguard.Request{{Service: "s", Account: fmt.Sprint(i), Parts: []string{"deadly"}, Sent: now}})
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -63,6 +63,7 @@
 		evidence = append(evidence, &coordinatorv1.VersionEvidence{
 			Service: key.Service, Version: key.Version, Route: key.Route,
 			Requests: c.Requests, Failures: c.Failures, LatencySeconds: c.Latency,
+			Completed: c.Completed, LogDuration: c.LogDuration, LogDurationSquares: c.LogDurationSquares,
 		})
 	}
 	return evidence
@@ -73,11 +74,10 @@
 	sums := map[rollout.Key]rollout.Counters{}
 	for _, e := range d.coordinator.Evidence() {
 		key := rollout.Key{Service: e.Service, Version: e.Version, Route: e.Route}
-		sum := sums[key]
-		sum.Requests += e.Requests
-		sum.Failures += e.Failures
-		sum.Latency += e.LatencySeconds
-		sums[key] = sum
+		sums[key] = sums[key].Add(rollout.Counters{
+			Requests: e.Requests, Failures: e.Failures, Latency: e.LatencySeconds,
+			Completed: e.Completed, LogDuration: e.LogDuration, LogDurationSquares: e.LogDurationSquares,
+		})
 	}
 	return sums
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,9 @@
 type Versions interface {
 	// Accept returns the filter for one request, or nil if any version may take it.
 	Accept(service, requestID string) func(version string) bool
+	// Completed records the time from the sending of a request to the end of its complete
+	// answer.
+	Completed(service, route, version string, duration time.Duration)
 	// Observe records the outcome of an attempt.
 	Observe(service, route, version string, failed bool, latency time.Duration)
 }
@@ -317,5 +320,14 @@
 	return r
 }
 
+// completed records a successful reply that has ended.
+func (q *request) completed(reservation *fleet.Reservation, reply *exchange.Reply, sent time.Time) {
+	options := &q.relay.options
+	options.Crashes.Completed(reservation.Description, q.prompt(), reply.Framed())
+	if q.attempts == 1 { // otherwise other instances may have made a part of the answer
+		options.Versions.Completed(q.service.Name, q.route.Name, reservation.Version, options.Clock.Since(sent))
+	}
+}
+
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return q.deadline.Sub(q.relay.options.Clock.Now()) }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -58,6 +58,7 @@
 func (s *fixture) Accept(string, string) func(string) bool         { return nil }
 func (s *fixture) Offered(string, int, int)                        {}
 func (s *fixture) FirstEvent(string, int, int, time.Duration)      { s.prefillSamples.Add(1) }
+func (s *fixture) Completed(_, _, _ string, _ time.Duration)       {}
 func (s *fixture) Observe(_, _, _ string, _ bool, _ time.Duration) {}
 
 func (s *fixture) RequestStarted(account string) {
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return q.relayUnbuffered(reply, &body)
 	}
-	q.relay.options.Crashes.Completed(reservation.Description, q.prompt(), reply.Framed())
+	q.completed(reservation, reply, sent)
 	q.writeHead(reply, int64(len(body.data)))
 	if _, err := q.writer.Write(body.data); err != nil {
 		return left, err.Error()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -82,7 +82,7 @@
 			if _, writeErr := q.writer.Write(pending.data); writeErr != nil {
 				return left, writeErr.Error()
 			}
-			q.relay.options.Crashes.Completed(reservation.Description, q.prompt(), reply.Framed())
+			q.completed(reservation, reply, sent)
 			return answered, ""
 		case err != nil:
 			return q.streamFailed(ctx, reservation, stream, sent, err)
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -294,7 +294,11 @@
 	for key, c := range now {
 		b := initial[key]
 		if c.Requests >= b.Requests {
-			c = Counters{Requests: c.Requests - b.Requests, Failures: max(c.Failures-b.Failures, 0), Latency: max(c.Latency-b.Latency, 0)}
+			c = Counters{
+				Requests: c.Requests - b.Requests, Failures: max(c.Failures-b.Failures, 0), Latency: max(c.Latency-b.Latency, 0),
+				Completed: max(c.Completed-b.Completed, 0), LogDuration: c.LogDuration - b.LogDuration,
+				LogDurationSquares: max(c.LogDurationSquares-b.LogDurationSquares, 0),
+			}
 		}
 		evidence[key] = c
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -32,8 +32,33 @@
 	Requests int64 // failures included
 	Failures int64
 	Latency  float64 // seconds, summed over the requests that didn't fail
+	// Completed are the requests with a complete answer. LogDuration and LogDurationSquares
+	// are the sums of the natural logarithms of their durations in seconds, and of the
+	// squares of these.
+	Completed                       int64
+	LogDuration, LogDurationSquares float64
 }
 
+// Add returns the sums of c and o.
+func (c Counters) Add(o Counters) Counters {
+	return Counters{
+		Requests: c.Requests + o.Requests, Failures: c.Failures + o.Failures, Latency: c.Latency + o.Latency,
+		Completed: c.Completed + o.Completed, LogDuration: c.LogDuration + o.LogDuration,
+		LogDurationSquares: c.LogDurationSquares + o.LogDurationSquares,
+	}
+}
+
+// logDuration returns the mean and the variance of the logarithms of the durations.
+func (c Counters) logDuration() (mean, variance float64) {
+	n := float64(c.Completed)
+	mean = c.LogDuration / n
+	return mean, max(c.LogDurationSquares/n-mean*mean, minLogVariance)
+}
+
+// minLogVariance is the least variance of the logarithms of durations, so that few equal
+// ones are no proof.
+const minLogVariance = 0.01
+
 // Key identifies what Counters belong to.
 type Key struct{ Service, Version, Route string }
 
@@ -65,6 +90,12 @@
 	// MaxLatencyRatio is the maximum ratio of the new version's mean latency to
 	// that of the old versions.
 	MaxLatencyRatio float64
+	// MinCompleted is the minimum number of complete answers from both the new and the old
+	// versions before their durations are compared. MaxDurationRatio is the maximum ratio
+	// of the geometric means, and MaxDurationSigmas the number of standard errors by which
+	// they may differ.
+	MinCompleted                        int64
+	MaxDurationRatio, MaxDurationSigmas float64
 }
 
 // DefaultPolicy returns a policy for deadlines of 10 s and more.
@@ -72,11 +103,12 @@
 	return Policy{
 		CanaryShare: 0.04, MinCanaryAnswers: 20, FullShareTime: 4500 * time.Millisecond, CompletionMargin: 600 * time.Millisecond,
 		MaxFailureSigmas: 4, MinFailures: 4, MinLatencySamples: 10, MaxLatencyRatio: 2,
+		MinCompleted: 6, MaxDurationRatio: 1.25, MaxDurationSigmas: 4.5,
 	}
 }
 
 // Regressed reports whether the new version performs worse than the old ones on
-// a route. The first result is "failures" or "latency".
+// a route. The first result is "failures", "latency" or "duration".
 func (p Policy) Regressed(target, baseline Counters) (string, bool) {
 	if target.Failures >= p.MinFailures {
 		// The failure rate of the old versions counts as at least 1%. Otherwise a
@@ -92,9 +124,39 @@
 		target.Latency/float64(successes) > p.MaxLatencyRatio*baseline.Latency/float64(baselineSuccesses) {
 		return "latency", true
 	}
+	if d := p.compareDurations(target, baseline); p.takesLonger(d) {
+		return "duration", true
+	}
 	return "", false
 }
 
+// durationDifference is the estimated difference of the logarithms of the durations of two
+// versions, multiplied by its weight, and this weight: the inverse of its variance.
+type durationDifference struct{ weighted, weight float64 }
+
+// compareDurations compares the times to the end of the answers. The logarithms make the
+// comparison independent of a few long answers.
+func (p Policy) compareDurations(target, baseline Counters) durationDifference {
+	if target.Completed < p.MinCompleted || baseline.Completed < p.MinCompleted {
+		return durationDifference{}
+	}
+	mean, variance := target.logDuration()
+	baseMean, baseVariance := baseline.logDuration()
+	// The variance of a few answers is too uncertain to be used alone.
+	variance = max(variance, baseVariance)
+	weight := 1 / (variance/float64(target.Completed) + baseVariance/float64(baseline.Completed))
+	return durationDifference{(mean - baseMean) * weight, weight}
+}
+
+// takesLonger reports whether the difference is too large, and no chance.
+func (p Policy) takesLonger(d durationDifference) bool {
+	if d.weight == 0 {
+		return false
+	}
+	difference, standardError := d.weighted/d.weight, 1/math.Sqrt(d.weight)
+	return difference > math.Log(p.MaxDurationRatio) && difference > p.MaxDurationSigmas*standardError
+}
+
 func failureRate(c Counters) float64 {
 	if c.Requests == 0 {
 		return 0
@@ -124,16 +186,19 @@
 			side = target
 			answers += c.Requests
 		}
-		sum := side[key.Route]
-		sum.Requests += c.Requests
-		sum.Failures += c.Failures
-		sum.Latency += c.Latency
-		side[key.Route] = sum
+		side[key.Route] = side[key.Route].Add(c)
 	}
+	var all durationDifference
 	for route, c := range target {
 		if reason, regressed = p.Regressed(c, baseline[route]); regressed {
 			return route + ": " + reason, true, answers
 		}
+		d := p.compareDurations(c, baseline[route])
+		all.weighted, all.weight = all.weighted+d.weighted, all.weight+d.weight
+	}
+	// A canary gets few answers on each route.
+	if p.takesLonger(all) {
+		return "all routes: duration", true, answers
 	}
 	return "", false, answers
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -29,7 +30,10 @@
 	// version's.
 	failing       func(since time.Duration, share float64) float64
 	latencyFactor float64
-	start         time.Time
+	// durationFactor is the same for the time to the end of an answer, and sigma the spread
+	// of these times, as that of a log-normal distribution.
+	durationFactor, sigma float64
+	start                 time.Time
 
 	random            *rand.Rand
 	requests          int
@@ -42,7 +46,7 @@
 	d := &scenario{
 		clock: clockwork.NewFakeClock(), store: storetest.NewMemory(), splitter: rollout.NewSplitter(), token: 1,
 		order:   rollout.Order{Service: "s", Target: "v2", Within: 15 * time.Second, Revision: 3},
-		failing: func(time.Duration, float64) float64 { return 0 }, latencyFactor: 1, random: rand.New(rand.NewPCG(seed, 9)),
+		failing: func(time.Duration, float64) float64 { return 0 }, latencyFactor: 1, durationFactor: 1, sigma: 0.5, random: rand.New(rand.NewPCG(seed, 9)),
 	}
 	d.duty = d.newDuty()
 	d.start = d.clock.Now()
@@ -77,13 +81,14 @@
 	for range int(perSecond * 0.15) {
 		d.requests++
 		accept := d.splitter.Accept("s", fmt.Sprint(d.requests))
-		version, failed, latency := "v1", d.random.Float64() < 0.004, 60*time.Millisecond
+		version, failed, latency, factor := "v1", d.random.Float64() < 0.004, 60*time.Millisecond, 1.0
 		if accept("v2") {
 			d.exposed++
 			version = "v2"
 			failed = d.random.Float64() < d.failing(d.clock.Since(d.start), d.share())
 			latency = time.Duration(float64(latency) * d.latencyFactor)
-			if failed || d.latencyFactor > 1 {
+			factor = d.durationFactor
+			if failed || d.latencyFactor > 1 || factor > 1 {
 				d.badAnswers++
 			}
 			if d.badAnswers > 50 {
@@ -91,6 +96,9 @@
 			}
 		}
 		d.splitter.Observe("s", "r", version, failed, time.Duration(float64(latency)*(0.5+d.random.Float64())))
+		if !failed {
+			d.splitter.Completed("s", "r", version, time.Duration(factor*math.Exp(d.sigma*d.random.NormFloat64())*float64(300*time.Millisecond)))
+		}
 	}
 	d.clock.Advance(150 * time.Millisecond)
 	_ = d.duty.Step(t.Context()) // some tests provoke errors of the store
@@ -121,6 +129,23 @@
 	}
 }
 
+// Guards against taking a good version back because durations spread widely, or because
+// its caches are cold and its answers take a little longer.
+func TestWideDurationsAreNoRegression(t *testing.T) {
+	reverted := 0
+	for seed := range uint64(200) {
+		d := newScenario(seed)
+		d.sigma, d.durationFactor = 0.8, 1.1
+		for range 105 {
+			d.step(t, 150)
+		}
+		if d.status() != "complete" {
+			reverted++
+		}
+	}
+	NewWithT(t).Expect(reverted).To(BeNumerically("<=", 1))
+}
+
 // The new version fails from the start, fails later, fails only under load, or is
 // slow. Guards against sending it more than a tenth of all requests plus 50.
 func TestBadVersionsAreReverted(t *testing.T) {
@@ -142,7 +167,9 @@
 				return 0
 			}
 		},
-		"slow": func(d *scenario) { d.latencyFactor = 4 },
+		"slow":               func(d *scenario) { d.latencyFactor = 4 },
+		"slow to complete":   func(d *scenario) { d.durationFactor = 1.9 },
+		"slower to complete": func(d *scenario) { d.durationFactor, d.sigma = 3, 0.8 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
--- a/internal/rollout/splitter.go
+++ b/internal/rollout/splitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 )
@@ -97,6 +98,18 @@
 	s.counters[key] = c
 }
 
+// Completed implements relay.Versions.
+func (s *Splitter) Completed(service, route, version string, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	logDuration := math.Log(duration.Seconds())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := Key{service, version, route}
+	s.counters[key] = s.counters[key].Add(Counters{Completed: 1, LogDuration: logDuration, LogDurationSquares: logDuration * logDuration})
+}
+
 // Counters returns the outcomes since the daemon started, for services with an
 // order.
 func (s *Splitter) Counters() map[Key]Counters {
