Continue streams only with replies of the same media type

Cause: a reply counted as the continuation of a stream by its status and signature alone. An instance that answers with an error document and status 200 was forwarded. Ruled out: failures, refusals with and without their mark, bytes that are no HTTP and empty successes don't reach the client (tested, right before). A refusal of an earlier request that is written once more on a kept connection is not believed (tested, right before). Change: once events were forwarded, a reply with another media type ends the attempt.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -222,6 +222,10 @@
 	}
 	q.attempts++
 	q.ran = true
+	if q.headWritten && reply.Header.Get("Content-Type") != q.writer.Header().Get("Content-Type") {
+		q.observeFailure(reservation, sent)
+		return broken, "the reply does not continue the stream"
+	}
 	if q.route.Semantics == traffic.Streaming {
 		return q.relayStream(ctx, reply, reservation, stream, sent)
 	}
