Explain refusals and failures by the crash of an instance

Cause: 'rudderctl explain' named a stream that broke with its instance like one that the instance failed, and knew no reason for code 1305. Change: it reports 'instance crashed' with the parts that were there, and the way from a refused prompt to its part. Result: TestCrashOfTheInstance failed before (by the missing cause); unit tests only.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -42,6 +42,9 @@
 	case result.UpstreamIncomplete, result.UpstreamFailed, result.UpstreamRefused:
 		return "The instance failed the request." + lastAttempt(s) + instanceState(related),
 			"The other requests of the instance, and its health."
+	case result.PromptQuarantined:
+		return "Requests with a part of its prompt crashed several instances." + lastAttempt(s) + instanceState(related),
+			"`prompt part quarantined` names the part, `instance crashed` what else was there at each crash."
 	case result.DeadlineExceeded, result.DeadlineTooShort:
 		return "The deadline passed before the response was complete." + lastAttempt(s),
 			"The `load` of the attempts: a fleet that is too small, or an instance that hangs."
@@ -109,12 +112,15 @@
 }
 
 // instanceState describes the first related line that says that an instance was
-// gone, displaced or unhealthy. It returns "" if there is none.
+// gone, displaced or unhealthy, or had crashed. It returns "" if there is none.
 func instanceState(related []Line) string {
 	for _, line := range related {
 		switch line.Message {
 		case "instance gone", "instance displaced":
 			return fmt.Sprintf(" At %s: %s.", line.Time.Format("15:04:05.000"), line.Message)
+		case "instance crashed":
+			return fmt.Sprintf(" It crashed at %s while it ran %s requests of the daemon, with the parts %s.",
+				line.Time.Format("15:04:05.000"), line.Fields["requests"], line.Fields["parts"])
 		case "instance health changed":
 			if reason := line.Fields["reason"]; reason != "none" {
 				return fmt.Sprintf(" Its health fell at %s (%s).", line.Time.Format("15:04:05.000"), reason)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -70,3 +70,21 @@
 	_, err := explain.Explain(nil, "r3")
 	g.Expect(err).To(MatchError(explain.ErrRequestNotFound))
 }
+
+// Guards against reporting a stream that broke because its instance crashed like one that
+// the instance failed, and a refused prompt without the way to its part.
+func TestCrashOfTheInstance(t *testing.T) {
+	g := NewWithT(t)
+	lines := read(g, "edge-1", `time=2026-12-04T10:00:05.000Z level=INFO msg="attempt failed" request=r5 service=s instance=i-1 end=broken reason="stream broke: unexpected EOF" load=4
+time=2026-12-04T10:00:05.000Z level=INFO msg="request finished" request=r5 service=s instance=i-1 attempts=1 status=502 code=1304 ran=true duration_ms=300 outcome="the stream broke"
+time=2026-12-04T10:00:05.010Z level=WARN msg="instance crashed" instance=i-1 service=s version=v1 requests=2 parts="[a1 b2]" error="connection refused"
+time=2026-12-04T10:00:09.000Z level=INFO msg="request finished" request=r6 service=s instance="" attempts=0 status=503 code=1305 ran=false duration_ms=0 outcome="a part of the prompt crashes instances"
+`)
+	report, err := explain.Explain(lines, "r5")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Cause).To(ContainSubstring("It crashed at 10:00:05.010 while it ran 2 requests"))
+	g.Expect(report.Cause).To(ContainSubstring("a1 b2"))
+	report, err = explain.Explain(lines, "r6")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Cause).To(ContainSubstring("crashed several instances"))
+}
