--- a/internal/coordination/crashes.go
+++ b/internal/coordination/crashes.go
@@ -19,14 +19,13 @@
 
 // request returns what to tell the other daemon: all, unless it knows the same.
 func (e *crashExchange) request() *coordinatorv1.PromptCrashes {
-	state, digest := e.guard.Export()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m := &coordinatorv1.PromptCrashes{Digest: digest}
-	if digest != e.digest {
-		m.Parts = EncodeCrashes(state)
+	if digest := e.guard.Digest(); digest == e.digest {
+		return &coordinatorv1.PromptCrashes{Digest: digest}
 	}
-	return m
+	state, digest := e.guard.Export()
+	return &coordinatorv1.PromptCrashes{Digest: digest, Parts: EncodeCrashes(state)}
 }
 
 // apply applies the answer of the other daemon.
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -47,6 +47,7 @@
 	for i := range 3 {
 		now := bootclock.Now()
 		daemons[i].crashGuard.Crashed(uint64(i), now, []crashguard.Request{{Service: "s", Account: fmt.Sprint(i), Parts: []string{"deadly"}, Sent: now}})
+		time.Sleep(5 * time.Millisecond) // the record has milliseconds
 	}
 	g.Eventually(refusing(daemons), 3*time.Second).Should(Equal(3))
 	g.Eventually(func() bool {
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -106,10 +106,12 @@
 	known  *lru.Cache[string, struct{}] // parts that requests of this daemon have completed with
 
 	mu       sync.Mutex
-	suspects map[string]*suspect // by part
-	verdicts map[string]verdict  // by part; only those that may lead to a refusal
-	trials   map[string]time.Duration
+	suspects map[string]*suspect      // by part
+	verdicts map[string]verdict       // by part; only those that may lead to a refusal
+	trials   map[string]time.Duration // when a request with a quarantined part is let through next
 	digest   uint64
+	// expiresAt is when the next crash expires.
+	expiresAt time.Duration
 }
 
 // suspect is a part that was there at crashes. Its flags and sets only grow.
@@ -139,6 +141,14 @@
 	}
 }
 
+// expiresAt returns when the crash no longer counts.
+func (c *crash) expiresAt() time.Duration {
+	if c.cleared() {
+		return min(c.at+retention, c.clearedAt+clearedRetention)
+	}
+	return c.at + retention
+}
+
 // verdict is the decision on a part.
 type verdict struct {
 	quarantined bool // requests are refused, and not just not repeated
@@ -387,9 +397,14 @@
 // holds the lock.
 func (g *Guard) expire() {
 	now := g.config.Now()
+	g.expiresAt = now + retention
 	for part, s := range g.suspects {
 		maps.DeleteFunc(s.crashes, func(_ uint64, c *crash) bool {
-			return now-c.at > retention || c.cleared() && now-c.clearedAt > clearedRetention
+			if c.expiresAt() < now {
+				return true
+			}
+			g.expiresAt = min(g.expiresAt, c.expiresAt())
+			return false
 		})
 		if len(s.crashes) == 0 {
 			delete(g.suspects, part)
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -235,9 +235,8 @@
 	}
 	g.Expect(f.guards[1].Quarantined()).To(Equal(1))
 	f.now += 2 * time.Hour
-	f.crash(0, request("b", "later"))
-	state, _ := f.guards[0].Export()
-	g.Expect(state).To(HaveLen(1))
+	g.Expect(f.guards[0].Digest()).To(BeZero())
+	g.Expect(f.guards[0].Quarantined()).To(BeZero())
 }
 
 // Guards against states that depend on the order of the exchanges or on who begins them,
--- a/pkg/crashguard/state.go
+++ b/pkg/crashguard/state.go
@@ -31,10 +31,14 @@
 }
 
 // Digest returns a checksum of the state. Guards with equal digests need no exchange. It
-// is 0 if nothing is known.
+// is 0 if nothing is known. It also drops what has expired, so that it should be called
+// now and then.
 func (g *Guard) Digest() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(g.suspects) > 0 && g.config.Now() > g.expiresAt {
+		g.update()
+	}
 	return g.digest
 }
 
