--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -1,7 +1,7 @@
 // Package coordination manages the state that all daemons share: account
-// quotas, usage counts, the load of instances and what is known of their crashes. The Agent of each daemon
-// reports to the Coordinator, which runs on the daemon that holds the
-// coordinator duty. While there is no coordinator, each daemon uses only a
+// quotas, usage counts, the load of instances and what is known of their crashes.
+// The Agent of each daemon reports to the Coordinator, which runs on the daemon that
+// holds the coordinator duty. While there is no coordinator, each daemon uses only a
 // fixed share of every quota, so that the daemons together stay within it.
 package coordination
 
--- a/internal/coordination/crashes.go
+++ b/internal/coordination/crashes.go
@@ -17,7 +17,8 @@
 	digest uint64 // of the other guard, as it said last
 }
 
-// request returns what to tell the other daemon: all, unless it knows the same.
+// request returns the message for the other daemon: the whole state, unless that daemon
+// has the same.
 func (e *crashExchange) request() *coordinatorv1.PromptCrashes {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -39,13 +40,11 @@
 // answerCrashes adds what a caller knows to the guard, and returns what the caller lacks.
 func answerCrashes(guard *crashguard.Guard, m *coordinatorv1.PromptCrashes) *coordinatorv1.PromptCrashes {
 	guard.Merge(DecodeCrashes(m.GetParts(), 0))
-	digest := guard.Digest()
-	answer := &coordinatorv1.PromptCrashes{Digest: digest}
-	if digest != m.GetDigest() {
-		state, digest := guard.Export()
-		answer.Parts, answer.Digest = EncodeCrashes(state), digest
+	if digest := guard.Digest(); digest == m.GetDigest() {
+		return &coordinatorv1.PromptCrashes{Digest: digest}
 	}
-	return answer
+	state, digest := guard.Export()
+	return &coordinatorv1.PromptCrashes{Digest: digest, Parts: EncodeCrashes(state)}
 }
 
 // EncodeCrashes encodes the state of a guard.
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -19,9 +19,9 @@
 const (
 	// probeTimeout bounds the connection attempt that tells whether an instance is alive.
 	probeTimeout = 300 * time.Millisecond
-	// memory is how long a crash applies to further requests that break off at the same
+	// crashRetention is how long a crash applies to further requests that break off at the same
 	// incarnation of an instance.
-	memory = time.Second
+	crashRetention = time.Second
 	// maxInvestigations bounds the incarnations that are remembered at a time.
 	maxInvestigations = 256
 	// maxRequests bounds the requests that are collected for one crash.
@@ -136,7 +136,8 @@
 }
 
 // Broke records that the connection of a request to an instance ended without a
-// complete reply.
+// complete reply, and begins to find out why. An instance that accepts a new connection is
+// alive.
 func (w *Watch) Broke(instance fleet.Description, r crashguard.Request) *Investigation {
 	if len(r.Parts) == 0 || !w.config.Serving(instance) {
 		return unexamined
@@ -146,7 +147,7 @@
 	defer w.mu.Unlock()
 	now := w.config.Now()
 	for other, i := range w.investigations {
-		if now-i.began > memory {
+		if now-i.began > crashRetention {
 			delete(w.investigations, other)
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,7 +117,7 @@
 	coordinator *coordination.Coordinator
 	agent       *coordination.Agent
 	reporter    *metering.Reporter
-	crashes     *crashwatch.Watch
+	crashWatch  *crashwatch.Watch
 	crashGuard  *crashguard.Guard
 	relay       *relay.Relay
 	// requestMemory and replyMemory limit what the relay buffers.
@@ -257,7 +257,7 @@
 		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: instanceIdleTimeout,
 	})
 	d.instances.OnRemove = pool.CloseIdle
-	d.crashes = crashwatch.New(crashwatch.Config{
+	d.crashWatch = crashwatch.New(crashwatch.Config{
 		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Serving: d.instances.Serving,
 		Guard: d.crashGuard,
 	})
@@ -266,7 +266,7 @@
 		Clock: d.clock, Log: d.log, Headers: d.platform.Headers, Configuration: d.state, Instances: d.instances, Pool: pool,
 		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.count), Versions: d.splitter,
 		Demand:        d.estimator,
-		Crashes:       d.crashes,
+		Crashes:       d.crashWatch,
 		RequestMemory: d.requestMemory, ReplyMemory: d.replyMemory,
 		DataCentre: s.DataCentre, DaemonCount: d.members.count, MaxKeyAge: s.Bounds.KeyRevocation - keyCheckMargin,
 		OnRequest: func() { d.rate.count.Add(1) },
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -233,7 +233,7 @@
 		if !found || !v.quarantined && !repeat || !v.concerns(keys, shortName(r.Account)) {
 			continue
 		}
-		if v.quarantined && !repeat && g.tryPart(part, v) {
+		if v.quarantined && !repeat && g.admitsTrial(part, v) {
 			continue
 		}
 		return true, minTrialWait
@@ -255,9 +255,9 @@
 	return true
 }
 
-// tryPart reports whether a request with a quarantined part is let through, to find out
+// admitsTrial reports whether a request with a quarantined part is let through, to find out
 // whether it still crashes instances. The caller holds the lock.
-func (g *Guard) tryPart(part string, v verdict) bool {
+func (g *Guard) admitsTrial(part string, v verdict) bool {
 	now := g.config.Now()
 	spread := 2 * float64(trialInterval) * float64(max(g.config.Daemons(), 1))
 	next, scheduled := g.trials[part]
--- a/pkg/crashguard/state.go
+++ b/pkg/crashguard/state.go
@@ -82,7 +82,7 @@
 			if c.Cleared {
 				own.clear(now - max(c.ClearedAge, 0))
 			}
-			own.addAccounts(mapNames(c.Accounts))
+			own.addAccounts(shortNames(c.Accounts))
 		}
 		if s := g.suspects[part]; s != nil {
 			s.completed = s.completed || p.Completed
@@ -91,10 +91,11 @@
 	g.update()
 }
 
-func mapNames(names []string) []string {
-	short := make([]string, 0, min(len(names), maxAccounts))
-	for _, name := range names[:min(len(names), maxAccounts)] {
-		short = append(short, shortName(name))
+func shortNames(names []string) []string {
+	names = names[:min(len(names), maxAccounts)]
+	short := make([]string, len(names))
+	for i, name := range names {
+		short[i] = shortName(name)
 	}
 	return short
 }
