Forget the initial counters of a roll-out when a daemon restarts

Cause: the counters at the start of a roll-out are subtracted from the present ones. When a daemon restarts, its counters leave the sum; once the others have made up for them, the difference is that of many answers less almost as many others, and its mean is far off. The comparison of durations is more sensitive to this than the means were. Change: a counter that decreases shows the restart; its initial value is dropped.

--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -90,6 +90,7 @@
 	record         record
 	recordRevision int64            // revision of the record's key in the store
 	initial        map[Key]Counters // counters at the start of the roll-out
+	latest         map[Key]Counters // counters at the last decision
 	share          float64          // fraction of the requests for the target
 }
 
@@ -184,7 +185,9 @@
 	if r.record.Outcome != Active {
 		return nil
 	}
-	evidence := countersSince(d.config.Evidence(), r.initial)
+	now := d.config.Evidence()
+	r.forgetRestarted(now)
+	evidence := countersSince(now, r.initial)
 	reason, regressed, answers := d.config.Policy.evaluate(order, evidence)
 	left := time.UnixMilli(r.record.Start).Add(order.Within).Sub(d.config.Civil())
 	switch {
@@ -286,6 +289,18 @@
 	return nil
 }
 
+// forgetRestarted drops the initial counters that have become useless because a daemon
+// restarted, which shows in a counter that decreases. The difference to them would be that
+// of many requests less almost as many others.
+func (r *trackedRollout) forgetRestarted(now map[Key]Counters) {
+	for key, before := range r.latest {
+		if now[key].Requests < before.Requests {
+			delete(r.initial, key)
+		}
+	}
+	r.latest = now
+}
+
 // countersSince returns the counters minus those at the start of the roll-out.
 // Counters that are smaller than at the start, because daemons restarted, are
 // returned unchanged.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -34,6 +34,8 @@
 	// of these times, as that of a log-normal distribution.
 	durationFactor, sigma float64
 	start                 time.Time
+	// evidence returns the counters of all daemons.
+	evidence func() map[rollout.Key]rollout.Counters
 
 	random            *rand.Rand
 	requests          int
@@ -48,6 +50,7 @@
 		order:   rollout.Order{Service: "s", Target: "v2", Within: 15 * time.Second, Revision: 3},
 		failing: func(time.Duration, float64) float64 { return 0 }, latencyFactor: 1, durationFactor: 1, sigma: 0.5, random: rand.New(rand.NewPCG(seed, 9)),
 	}
+	d.evidence = d.splitter.Counters
 	d.duty = d.newDuty()
 	d.start = d.clock.Now()
 	d.splitter.SetOrder(d.order)
@@ -57,7 +60,7 @@
 func (d *scenario) newDuty() *rollout.Duty {
 	duty := rollout.New(rollout.Config{
 		Log: slog.New(slog.DiscardHandler), Store: d.store, Token: func() int64 { return d.token }, Civil: d.clock.Now,
-		Policy: rollout.DefaultPolicy(), Evidence: d.splitter.Counters,
+		Policy: rollout.DefaultPolicy(), Evidence: func() map[rollout.Key]rollout.Counters { return d.evidence() },
 		Status: func(o rollout.Order, outcome rollout.Outcome) (string, []byte, error) {
 			return "status/" + o.Service, []byte(outcome), nil
 		},
@@ -186,6 +189,30 @@
 	}
 }
 
+// A daemon that has served the old version for long restarts during a roll-out. Guards
+// against comparing a good version with the difference of the counters before and after.
+func TestRestartOfADaemonIsNoRegression(t *testing.T) {
+	for seed := range uint64(50) {
+		d := newScenario(seed)
+		// The counters of the daemon that restarts, with longer answers long ago.
+		key := rollout.Key{Service: "s", Version: "v1", Route: "r"}
+		earlier := rollout.Counters{Requests: 1000, Latency: 60, Completed: 1000, LogDuration: 0, LogDurationSquares: 250}
+		restarted := false
+		d.evidence = func() map[rollout.Key]rollout.Counters {
+			counters := d.splitter.Counters()
+			if !restarted {
+				counters[key] = counters[key].Add(earlier)
+			}
+			return counters
+		}
+		for i := range 105 {
+			restarted = i >= 40
+			d.step(t, 150)
+		}
+		NewWithT(t).Expect(d.status()).To(Equal("complete"), "seed %d", seed)
+	}
+}
+
 // Guards against a new coordinator that changes the outcome of a roll-out or
 // starts the roll-out again.
 func TestOutcomeSurvivesChangeOfCoordinator(t *testing.T) {
