--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -8,7 +8,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/dogwoodrudder/dogwoodrudder/test/harness"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
 )
 
@@ -52,7 +51,6 @@
 // refusing sound requests of the same caller that share their other parts. Five
 // crashes may pass, and three requests after them.
 func TestPromptPartThatCrashesInstancesIsRefused(t *testing.T) {
-	harness.SkipKnownFailure(t)
 	for _, service := range []string{"report", "query"} {
 		t.Run(service, func(t *testing.T) {
 			g := NewWithT(t)
