--- a/review/_src/rig/rig.go
+++ b/review/_src/rig/rig.go
@@ -60,12 +60,14 @@
 	Daemons []*Daemon
 	Workers []*worker.Worker
 
-	dir          string
-	prefix       string // first three numbers of the loopback addresses
-	storeAddress string
-	cloudAddress string
-	servers      []*http.Server
-	plain        []*PlainWorker
+	dir            string
+	prefix         string // first three numbers of the loopback addresses
+	storeAddress   string
+	cloudAddress   string
+	servers        []*http.Server
+	plain          []*PlainWorker
+	versionedCount int
+	stops          []func()
 }
 
 // Daemon is a rudderd process.
@@ -282,6 +284,9 @@
 	for _, w := range r.plain {
 		w.stop()
 	}
+	for _, stop := range r.stops {
+		stop()
+	}
 	for _, s := range r.servers {
 		_ = s.Close()
 	}
