--- a/review/_src/rig/rig.go
+++ b/review/_src/rig/rig.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/platform"
-	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
 )
 
 // Exit codes of a case.
@@ -59,7 +58,6 @@
 	Store   *platform.Store
 	Cloud   *platform.Cloud
 	Daemons []*Daemon
-	Workers []*worker.Worker
 
 	dir            string
 	prefix         string // first three numbers of the loopback addresses
@@ -138,19 +136,6 @@
 	r.Record.Logf("operator: op/config %s", value)
 }
 
-// AddWorker starts a worker and writes its entry. events is the number of events of its
-// streams; 0 means plain answers.
-func (r *Rig) AddWorker(id, service, zone string, events int) (*worker.Worker, error) {
-	w, err := worker.Start(id, service, r.Address(100+len(r.Workers)), events)
-	if err != nil {
-		return nil, err
-	}
-	r.Workers = append(r.Workers, w)
-	r.Store.Put("servers/"+id, w.Entry(zone, "ready"))
-	r.Record.Logf("worker %s of %s at %s", id, service, w.Address())
-	return w, nil
-}
-
 func freePort(ip string) string {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -289,9 +274,6 @@
 		}
 		_ = d.log.Close()
 	}
-	for _, w := range r.Workers {
-		w.Stop()
-	}
 	for _, w := range r.plain {
 		w.stop()
 	}
