Never continue a body that broke off with another answer

Cause: a body of more than 1 MiB is forwarded while it arrives. When it breaks off, checkRetry asked only whether a stream could be resumed, and a body that is not a stream never counts as started; the next attempt appended its own body.

Change: a request whose body was forwarded in part isn't sent again, and the client's connection is aborted.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,6 +165,7 @@
 	ran          bool          // an instance may have run the request
 	metered      bool          // counted by the Meter
 	headWritten  bool          // the head of the response was written
+	bodyStarted  bool          // a part of a body that is not a stream was forwarded
 	attemptTimer *attemptTimer // of the current attempt
 	retryTaken   atomic.Bool   // the next attempt was already taken from the retry budget
 	// brokeOff is the search for the reason why the current attempt broke off; nil if it
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -58,6 +58,7 @@
 // relayUnbuffered forwards a reply that is too large to be buffered. start is the
 // part of the body that has been read.
 func (q *request) relayUnbuffered(reply *exchange.Reply, start *buffer) (attemptOutcome, string) {
+	q.bodyStarted = true
 	q.writeHead(reply, reply.Length)
 	if _, err := q.writer.Write(start.data); err != nil {
 		return left, err.Error()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -128,6 +128,8 @@
 		return q.retriesExhausted(outcome, "no attempt is left")
 	case q.remaining() < minAttemptTime:
 		return q.deadlinePassed()
+	case q.bodyStarted:
+		return outcomeUnknown(result.UpstreamIncomplete, "the body broke off after a part of it was forwarded")
 	case outcome == broken && !stream.resumable():
 		return outcomeUnknown(result.UpstreamIncomplete, "the stream broke without an event ID")
 	case outcome != refused && q.crashesInstances():
