Record how a long body ends in the health of its instance

Cause: the first 1 MiB counted as a success, and the break-off after it as nothing, so that the instance was never ejected. Errors of the client's connection and of the instance's were not told apart.

Change: the outcome is recorded at the end of the body. exchange.Reply.Complete has no user left and is gone.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -185,16 +185,6 @@
 // the end of the connection.
 func (r *Reply) Framed() bool { return r.Length >= 0 || len(r.response.TransferEncoding) > 0 }
 
-// Complete reports whether the whole body was read.
-func (r *Reply) Complete() bool {
-	if !r.bodyRead {
-		var one [1]byte
-		n, err := r.Read(one[:])
-		return n == 0 && errors.Is(err, io.EOF)
-	}
-	return true
-}
-
 // Abort closes the connection, which ends a Read in progress.
 func (r *Reply) Abort() { _ = r.conn.Close() }
 
--- a/internal/relay/longbody_test.go
+++ b/internal/relay/longbody_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -53,3 +55,55 @@
 		})
 	}
 }
+
+// An instance breaks off each long body. Guards against a failure that is not recorded
+// because the start of the body arrived: requests then keep going to that instance.
+func TestInstanceThatBreaksOffLongBodiesIsEjected(t *testing.T) {
+	for _, name := range []string{"cut before its length", "cut before its last chunk", "without end"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFixture(t)
+			broken := brokenLongBodies[name]
+			s.rawInstance("w1", "lookup", func(w io.Writer, id string) error {
+				if _, err := io.WriteString(w, head(id, broken.head)); err != nil {
+					return err
+				}
+				return broken.write(w, strings.Repeat("x", 2<<20))
+			})
+			s.worker("w2", "lookup", worker.Behaviour{})
+			failures := 0
+			for range 40 {
+				if s.send(t.Context(), "/lookup/1", nil).err != nil {
+					failures++
+				}
+			}
+			g.Expect(failures).To(BeNumerically("<=", 5), "five failures in a row eject an instance")
+		})
+	}
+}
+
+// Guards against blaming an instance for a client that closes the connection while a long
+// body is forwarded.
+func TestClientThatLeavesALongBodyIsNoFailure(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(t)
+	s.rawInstance("w1", "lookup", func(w io.Writer, id string) error {
+		if _, err := io.WriteString(w, head(id, "\r\n")); err != nil {
+			return err
+		}
+		return repeat(w, "x")
+	})
+	for range 10 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.url+"/lookup/1", http.NoBody)
+		g.Expect(err).NotTo(HaveOccurred())
+		request.Host = "h.example"
+		request.Header.Set("Authorization", "Bearer "+key)
+		request.Header.Set("X-Request-Id", "leaves")
+		response, err := http.DefaultTransport.RoundTrip(request)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.CopyN(io.Discard, response.Body, 2<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.Body.Close()).To(Succeed())
+	}
+	g.Consistently(s.failures.Load, 200*time.Millisecond).Should(BeZero())
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -42,6 +42,8 @@
 	quotaExceeded atomic.Bool
 	// prefillSamples counts the latencies from which prefill times are estimated.
 	prefillSamples atomic.Int64
+	// failures counts the failed attempts that were recorded for versions.
+	failures atomic.Int64
 	// shuttingDown refuses requests that may last longer than a second.
 	shuttingDown atomic.Bool
 	mu           sync.Mutex
@@ -50,16 +52,21 @@
 	guard        *crashguard.Guard
 }
 
-func (s *fixture) Table() *traffic.Table                           { return s.table.Load() }
-func (s *fixture) Fresh(limit time.Duration) bool                  { return time.Duration(s.configAge.Load()) < limit }
-func (s *fixture) Return(*traffic.Account, float64)                {}
-func (s *fixture) AddRequest(string)                               {}
-func (s *fixture) Take(string) bool                                { return s.retryBudget.Add(-1) >= 0 }
-func (s *fixture) Accept(string, string) func(string) bool         { return nil }
-func (s *fixture) Offered(string, int, int)                        {}
-func (s *fixture) FirstEvent(string, int, int, time.Duration)      { s.prefillSamples.Add(1) }
-func (s *fixture) Completed(_, _, _ string, _ time.Duration)       {}
-func (s *fixture) Observe(_, _, _ string, _ bool, _ time.Duration) {}
+func (s *fixture) Table() *traffic.Table                      { return s.table.Load() }
+func (s *fixture) Fresh(limit time.Duration) bool             { return time.Duration(s.configAge.Load()) < limit }
+func (s *fixture) Return(*traffic.Account, float64)           {}
+func (s *fixture) AddRequest(string)                          {}
+func (s *fixture) Take(string) bool                           { return s.retryBudget.Add(-1) >= 0 }
+func (s *fixture) Accept(string, string) func(string) bool    { return nil }
+func (s *fixture) Offered(string, int, int)                   {}
+func (s *fixture) FirstEvent(string, int, int, time.Duration) { s.prefillSamples.Add(1) }
+func (s *fixture) Completed(_, _, _ string, _ time.Duration)  {}
+
+func (s *fixture) Observe(_, _, _ string, failed bool, _ time.Duration) {
+	if failed {
+		s.failures.Add(1)
+	}
+}
 
 func (s *fixture) RequestStarted(account string) {
 	s.mu.Lock()
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -22,6 +22,9 @@
 // counts as one without end and is broken off.
 const maxReplyBytes = 64 << 20
 
+// forwardBytes is the size of the parts in which a reply that is not buffered is forwarded.
+const forwardBytes = 32 << 10
+
 // relayBuffered reads a reply that is not a stream and sends it to the client.
 func (q *request) relayBuffered(ctx context.Context, reply *exchange.Reply, reservation *fleet.Reservation, sent time.Time) (attemptOutcome, string) {
 	q.meterOnce()
@@ -41,12 +44,17 @@
 		return lost, "truncated reply: " + err.Error()
 	}
 	latency := q.relay.options.Clock.Since(sent)
-	q.relay.latencies.observe(q.route.Name, latency)
-	reservation.Observe(false, latency, 0)
-	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, reservation.Version, false, latency)
 	if err != nil {
-		return q.relayUnbuffered(reply, &body)
+		outcome, reason := q.relayUnbuffered(ctx, reply, reservation, &body)
+		switch outcome {
+		case answered:
+			q.observeSuccess(reservation, latency)
+		case broken:
+			q.observeFailure(reservation, sent)
+		}
+		return outcome, reason
 	}
+	q.observeSuccess(reservation, latency)
 	q.completed(reservation, reply, sent)
 	q.writeHead(reply, int64(len(body.data)))
 	if _, err := q.writer.Write(body.data); err != nil {
@@ -55,29 +63,50 @@
 	return answered, ""
 }
 
+// observeSuccess records a whole reply that is not a stream, or the start of one that has
+// been forwarded whole.
+func (q *request) observeSuccess(reservation *fleet.Reservation, latency time.Duration) {
+	q.relay.latencies.observe(q.route.Name, latency)
+	reservation.Observe(false, latency, 0)
+	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, reservation.Version, false, latency)
+}
+
 // relayUnbuffered forwards a reply that is too large to be buffered. start is the
 // part of the body that has been read.
-func (q *request) relayUnbuffered(reply *exchange.Reply, start *buffer) (attemptOutcome, string) {
+func (q *request) relayUnbuffered(ctx context.Context, reply *exchange.Reply, reservation *fleet.Reservation, start *buffer) (attemptOutcome, string) {
 	q.bodyStarted = true
 	q.writeHead(reply, reply.Length)
 	if _, err := q.writer.Write(start.data); err != nil {
 		return left, err.Error()
 	}
-	rest := int64(maxReplyBytes - len(start.data))
+	rest := maxReplyBytes - len(start.data)
 	start.free()
-	n, err := io.Copy(q.writer, io.LimitReader(reply, rest))
-	if err != nil {
-		return broken, err.Error()
-	}
-	if n == rest && !reply.Complete() {
-		return broken, "the reply is longer than 64 MiB"
+	part := make([]byte, forwardBytes)
+	for {
+		n, readErr := reply.Read(part[:min(len(part), rest+1)])
+		if n > rest {
+			return broken, "the reply is longer than 64 MiB"
+		}
+		rest -= n
+		if _, err := q.writer.Write(part[:n]); err != nil {
+			return left, err.Error()
+		}
+		if errors.Is(readErr, io.EOF) {
+			return answered, ""
+		}
+		if readErr != nil {
+			if outcome, ended := q.contextOutcome(ctx, reservation); ended {
+				return outcome, readErr.Error()
+			}
+			q.connectionBroke(reservation)
+			return broken, "truncated reply: " + readErr.Error()
+		}
 	}
-	return answered, ""
 }
 
 // relayFailure forwards the error reply of the instance unchanged, or returns an
 // outcome after which the request is retried if it is repeatable.
-func (q *request) relayFailure(reply *exchange.Reply) (attemptOutcome, string) {
+func (q *request) relayFailure(ctx context.Context, reply *exchange.Reply, reservation *fleet.Reservation) (attemptOutcome, string) {
 	status := strconv.Itoa(reply.Status)
 	if q.headWritten {
 		return broken, "status " + status
@@ -95,7 +124,7 @@
 	q.meterOnce()
 	q.outcome = "status " + status + " of the instance"
 	if tooLarge {
-		return q.relayUnbuffered(reply, &body)
+		return q.relayUnbuffered(ctx, reply, reservation, &body)
 	}
 	q.writeHead(reply, int64(len(body.data)))
 	if _, err := q.writer.Write(body.data); err != nil {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -220,7 +220,7 @@
 		q.attempts++
 		q.ran = true
 		q.observeFailure(reservation, sent)
-		return q.relayFailure(reply)
+		return q.relayFailure(ctx, reply, reservation)
 	}
 	q.attempts++
 	q.ran = true
