Send no requests to versions that were ordered and not completed

Cause: a daemon knew one order for each service, and each version but its target counted as one that served before, also one that was reverted, or whose order was replaced or removed before its outcome was known. Failures of a reverted version also counted as those of the baseline.

Change: versions that were ordered and not completed get requests only as the target of an order, and are no baseline. The list is recorded with the roll-out and sent with its state; until then each daemon derives it from the orders and records that it has seen. An order back to the version before takes effect at once, as nothing else is left.

The tests of internal/rollout fail with the list taken for empty, as it was before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -173,9 +173,11 @@
 		Wake: d.link.vacated,
 	})
 	d.splitter = rollout.NewSplitter()
+	d.splitter.Serving = d.instances.Versions
 	d.rollouts = rollout.New(rollout.Config{
 		Log: log, Store: p.Store, Token: d.holder.Token, Civil: d.civil.Now, Policy: rollout.DefaultPolicy(),
-		Evidence: d.fleetEvidence, Status: p.Reader.RolloutStatus,
+		Evidence: d.fleetEvidence, Unproven: d.splitter.Unproven, Serving: d.instances.Versions,
+		Status: p.Reader.RolloutStatus,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.count, OnChange: d.logQuarantine})
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -39,20 +39,17 @@
 	d.log.Info("roll-out ordered", "service", service, "target", order.Target, "within", order.Within, "revision", c.ModRevision)
 }
 
-// applyRecord applies the record of a roll-out that has ended. The share of an
-// active roll-out comes from the coordinator.
+// applyRecord applies the record of a roll-out.
 func (d *Daemon) applyRecord(c mirror.Change) {
 	if c.Deleted {
 		return
 	}
-	state, ended, err := rollout.DecodeRecord(c.Value)
+	state, err := rollout.DecodeRecord(c.Value)
 	if err != nil {
 		d.log.Warn("roll-out record ignored", "key", c.Key, "revision", c.ModRevision, "error", err)
 		return
 	}
-	if ended {
-		d.splitter.SetState(state)
-	}
+	d.splitter.SetRecord(state)
 }
 
 // versionEvidence returns this daemon's counters for the report to the
@@ -89,7 +86,7 @@
 	for _, s := range d.rollouts.States() {
 		states = append(states, &coordinatorv1.RolloutState{
 			Service: s.Order.Service, Target: s.Order.Target, Share: s.Share, Outcome: string(s.Outcome),
-			OrderRevision: s.Order.Revision,
+			OrderRevision: s.Order.Revision, Unproven: s.Unproven,
 		})
 	}
 	return states
@@ -100,7 +97,7 @@
 	for _, s := range states {
 		d.splitter.SetState(rollout.State{
 			Order: rollout.Order{Service: s.Service, Target: s.Target, Revision: s.OrderRevision},
-			Share: s.Share, Outcome: rollout.Outcome(s.Outcome),
+			Share: s.Share, Outcome: rollout.Outcome(s.Outcome), Unproven: s.Unproven,
 		})
 	}
 }
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -221,6 +222,19 @@
 	return list
 }
 
+// Versions returns the versions of the instances of a service that are not leaving.
+func (s *Set) Versions(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var versions []string
+	for _, i := range s.byService[service] {
+		if !i.Leaving && !slices.Contains(versions, i.Version) {
+			versions = append(versions, i.Version)
+		}
+	}
+	return versions
+}
+
 // Load is the load on an instance: its running requests, and the prompt tokens of
 // those that still wait for their first event.
 type Load struct{ Inflight, PrefillTokens int }
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,12 @@
 	Token  func() int64     // fencing token, 0 while the duty isn't held
 	Civil  func() time.Time // wall-clock time
 	Policy Policy
+	// Unproven returns the versions of a service that were ordered before its current
+	// order and not completed, as far as this daemon knows; nil means none.
+	Unproven func(service string) []string
+	// Serving returns the versions of the announced instances of a service that are not
+	// leaving; nil means that they are not known.
+	Serving func(service string) []string
 	// Evidence returns the counters summed over all daemons.
 	Evidence func() map[Key]Counters
 	// Status returns the store key and value that show the outcome to operators.
@@ -45,27 +52,32 @@
 	Target   string  `json:"target"`
 	Start    int64   `json:"start_ms"` // Unix time
 	Outcome  Outcome `json:"outcome"`
+	// Unproven are the versions that were ordered earlier and not completed. They get no
+	// requests.
+	Unproven []string `json:"unproven,omitempty"`
+	// Sole tells that only unproven versions served beside the target when the roll-out
+	// began, so that it got all requests at once.
+	Sole bool `json:"sole,omitempty"`
 }
 
 // initialShare returns the fraction of requests for the target with which a new
 // holder of the duty starts. For an active roll-out it is 0: each holder
 // collects its own evidence.
 func (r record) initialShare() float64 {
-	if r.Outcome == Complete {
+	if r.Outcome == Complete || r.Sole && r.Outcome == Active {
 		return 1
 	}
 	return 0
 }
 
-// DecodeRecord decodes the stored record of a roll-out. The second result reports
-// whether the roll-out has ended.
-func DecodeRecord(value []byte) (State, bool, error) {
+// DecodeRecord decodes the stored record of a roll-out.
+func DecodeRecord(value []byte) (State, error) {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return State{}, false, errors.Wrap(err, "decode roll-out record")
+		return State{}, errors.Wrap(err, "decode roll-out record")
 	}
 	order := Order{Service: r.Service, Target: r.Target, Revision: r.Revision}
-	return State{Order: order, Share: r.initialShare(), Outcome: r.Outcome}, r.Outcome != Active, nil
+	return State{Order: order, Share: r.initialShare(), Outcome: r.Outcome, Unproven: r.Unproven}, nil
 }
 
 // State is the state of a roll-out that the coordinator sends to all daemons.
@@ -73,6 +85,8 @@
 	Order   Order
 	Share   float64 // fraction of the requests for the target, 0 to 1
 	Outcome Outcome
+	// Unproven are the versions that were ordered before this order and not completed.
+	Unproven []string
 }
 
 // Duty controls the roll-outs while this daemon is the coordinator.
@@ -133,7 +147,7 @@
 	for service, r := range d.tracked {
 		order := d.orders[service]
 		if order.Revision == r.record.Revision {
-			states = append(states, State{Order: order, Share: r.share, Outcome: r.record.Outcome})
+			states = append(states, State{Order: order, Share: r.share, Outcome: r.record.Outcome, Unproven: r.record.Unproven})
 		}
 	}
 	return states
@@ -188,7 +202,7 @@
 	now := d.config.Evidence()
 	r.forgetRestarted(now)
 	evidence := countersSince(now, r.initial)
-	reason, regressed, answers := d.config.Policy.evaluate(order, evidence)
+	reason, regressed, answers := d.config.Policy.evaluate(order, r.record.Unproven, evidence)
 	left := time.UnixMilli(r.record.Start).Add(order.Within).Sub(d.config.Civil())
 	switch {
 	case regressed:
@@ -225,13 +239,18 @@
 		r.share = r.record.initialShare()
 	}
 	if r.record.Revision != order.Revision {
-		r.share = 0
-		r.record = record{Service: order.Service, Revision: order.Revision, Target: order.Target, Start: d.config.Civil().UnixMilli(), Outcome: Active}
+		r.record = record{
+			Service: order.Service, Revision: order.Revision, Target: order.Target, Start: d.config.Civil().UnixMilli(), Outcome: Active,
+			Unproven: d.unproven(order, r.record),
+		}
+		r.record.Sole = d.config.Serving != nil && noneProven(d.config.Serving(order.Service), order.Target, r.record.Unproven)
+		r.share = r.record.initialShare()
 		r.initial = d.config.Evidence()
 		if err := d.write(ctx, order, r); err != nil {
 			return err
 		}
-		d.config.Log.Info("roll-out began", "service", order.Service, "target", order.Target, "within", order.Within)
+		d.config.Log.Info("roll-out began", "service", order.Service, "target", order.Target, "within", order.Within,
+			"unproven", r.record.Unproven, "sole", r.record.Sole)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -239,6 +258,29 @@
 	return nil
 }
 
+// maxUnproven is the maximum number of unproven versions of a service that are recorded.
+const maxUnproven = 16
+
+// unproven returns the versions that were ordered before an order and not completed, the
+// newest last. previous is the record of an earlier order.
+func (d *Duty) unproven(order Order, previous record) []string {
+	versions := slices.Clone(previous.Unproven)
+	if previous.Target != "" {
+		versions = append(versions, previous.Target)
+	}
+	if d.config.Unproven != nil {
+		versions = append(versions, d.config.Unproven(order.Service)...)
+	}
+	var unproven []string
+	for _, version := range versions {
+		completed := previous.Outcome == Complete && version == previous.Target
+		if !completed && version != order.Target && !slices.Contains(unproven, version) {
+			unproven = append(unproven, version)
+		}
+	}
+	return unproven[max(len(unproven)-maxUnproven, 0):]
+}
+
 // end stores the outcome of a roll-out. A reverted target gets no requests from
 // here on, even if the write fails; the next holder of the duty knows the outcome
 // once it is written.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -173,12 +174,13 @@
 	return p.CanaryShare
 }
 
-// evaluate compares the target with all other versions of the service on each
-// route. It also returns the number of the target's answers.
-func (p Policy) evaluate(order Order, evidence map[Key]Counters) (reason string, regressed bool, answers int64) {
+// evaluate compares the target with the versions of the service that served before, on
+// each route. Without any of these there is nothing to compare with, and to return to. It
+// also returns the number of the target's answers.
+func (p Policy) evaluate(order Order, unproven []string, evidence map[Key]Counters) (reason string, regressed bool, answers int64) {
 	target, baseline := map[string]Counters{}, map[string]Counters{}
 	for key, c := range evidence {
-		if key.Service != order.Service {
+		if key.Service != order.Service || slices.Contains(unproven, key.Version) {
 			continue
 		}
 		side := baseline
@@ -188,6 +190,9 @@
 		}
 		side[key.Route] = side[key.Route].Add(c)
 	}
+	if len(baseline) == 0 {
+		return "", false, answers
+	}
 	var all durationDifference
 	for route, c := range target {
 		if reason, regressed = p.Regressed(c, baseline[route]); regressed {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -58,15 +58,21 @@
 }
 
 func (d *scenario) newDuty() *rollout.Duty {
-	duty := rollout.New(rollout.Config{
+	duty := rollout.New(d.config(nil))
+	duty.SetOrder(d.order)
+	return duty
+}
+
+// config returns the configuration of a duty. serving returns the versions of a service.
+func (d *scenario) config(serving func(string) []string) rollout.Config {
+	return rollout.Config{
 		Log: slog.New(slog.DiscardHandler), Store: d.store, Token: func() int64 { return d.token }, Civil: d.clock.Now,
 		Policy: rollout.DefaultPolicy(), Evidence: func() map[rollout.Key]rollout.Counters { return d.evidence() },
+		Unproven: func(service string) []string { return d.splitter.Unproven(service) }, Serving: serving,
 		Status: func(o rollout.Order, outcome rollout.Outcome) (string, []byte, error) {
 			return "status/" + o.Service, []byte(outcome), nil
 		},
-	})
-	duty.SetOrder(d.order)
-	return duty
+	}
 }
 
 func (d *scenario) status() string { return string(d.store.Value("status/s")) }
@@ -263,9 +269,9 @@
 			d.step(t, 150)
 		}
 		g.Expect(d.status()).To(Equal(name))
-		state, ended, err := rollout.DecodeRecord(d.store.Value(rollout.KeyPrefix + "s"))
+		state, err := rollout.DecodeRecord(d.store.Value(rollout.KeyPrefix + "s"))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(ended).To(BeTrue())
+		g.Expect(state.Outcome).NotTo(Equal(rollout.Active))
 		splitter := rollout.NewSplitter()
 		splitter.SetState(state)
 		splitter.SetOrder(d.order)
@@ -273,7 +279,7 @@
 		g.Expect(accept("v2")).To(Equal(name == "complete"))
 		g.Expect(accept("v1")).To(Equal(name == "reverted"))
 	}
-	_, _, err := rollout.DecodeRecord([]byte("{"))
+	_, err := rollout.DecodeRecord([]byte("{"))
 	NewWithT(t).Expect(err).To(HaveOccurred())
 }
 
--- a/internal/rollout/splitter.go
+++ b/internal/rollout/splitter.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -11,65 +12,174 @@
 // according to the share of the roll-out, and counts the outcomes by version. It
 // implements relay.Versions.
 type Splitter struct {
+	// Serving returns the versions of the announced instances of a service that are not
+	// leaving; nil means that they are not known.
+	Serving func(service string) []string
+
 	mu       sync.Mutex
-	orders   map[string]Order // by service
-	states   map[string]State // by service
+	services map[string]*split
 	counters map[Key]Counters
 }
 
+// split is what is known of the roll-outs of one service.
+type split struct {
+	order *Order // nil if there is none
+	// superseded are the targets of the earlier orders whose outcome is not known, by the
+	// revision of the order.
+	superseded map[int64]string
+	state      *State // the newest known, also of an earlier order; nil if none is known
+}
+
 // NewSplitter returns a Splitter without orders, which accepts every version.
 func NewSplitter() *Splitter {
-	return &Splitter{orders: map[string]Order{}, states: map[string]State{}, counters: map[Key]Counters{}}
+	return &Splitter{services: map[string]*split{}, counters: map[Key]Counters{}}
+}
+
+func (s *Splitter) service(name string) *split {
+	if s.services[name] == nil {
+		s.services[name] = &split{superseded: map[int64]string{}}
+	}
+	return s.services[name]
 }
 
 // SetOrder sets an order. Its target gets no requests until SetState sets a share.
 func (s *Splitter) SetOrder(o Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.orders[o.Service] = o
+	p := s.service(o.Service)
+	if p.order != nil && p.order.Revision == o.Revision {
+		return
+	}
+	p.supersede()
+	p.order = &o
 }
 
 // RemoveOrder removes the order for a service.
 func (s *Splitter) RemoveOrder(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.orders, service)
+	p := s.service(service)
+	p.supersede()
+	p.order = nil
+}
+
+// supersede remembers the target of the current order. Until its outcome is known, it
+// gets no requests but as a target.
+func (p *split) supersede() {
+	if p.order != nil && (p.state == nil || p.state.Order.Revision < p.order.Revision) {
+		p.superseded[p.order.Revision] = p.order.Target
+	}
 }
 
-// SetState sets a state received from the coordinator or read from the stored
-// record. It ignores states of earlier orders, and an active state of an order
-// whose outcome is already known.
+// SetState sets a state received from the coordinator. It ignores states of earlier
+// orders, and an active state of an order whose outcome is already known.
 func (s *Splitter) SetState(state State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := s.states[state.Order.Service]
-	if known && state.Order.Revision < old.Order.Revision {
+	s.service(state.Order.Service).setState(state)
+}
+
+// SetRecord sets a state read from the stored record. The share of an active roll-out is
+// known to the coordinator only, so its record does not replace a state of the same order.
+func (s *Splitter) SetRecord(state State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.service(state.Order.Service)
+	if state.Outcome == Active && p.state != nil && p.state.Order.Revision == state.Order.Revision {
 		return
 	}
-	if known && old.Order.Revision == state.Order.Revision && old.Outcome != Active && state.Outcome == Active {
-		return
+	p.setState(state)
+}
+
+func (p *split) setState(state State) {
+	if old := p.state; old != nil {
+		if state.Order.Revision < old.Order.Revision {
+			return
+		}
+		if old.Order.Revision == state.Order.Revision && old.Outcome != Active && state.Outcome == Active {
+			return
+		}
 	}
-	s.states[state.Order.Service] = state
+	p.state = &state
+	for revision := range p.superseded {
+		if revision <= state.Order.Revision {
+			delete(p.superseded, revision)
+		}
+	}
+}
+
+// Unproven returns the versions of a service that were ordered before its current order
+// and not completed, as far as this daemon knows.
+func (s *Splitter) Unproven(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.services[service]; p != nil {
+		return p.unproven()
+	}
+	return nil
+}
+
+func (p *split) unproven() []string {
+	var versions []string
+	if p.state != nil {
+		versions = slices.Clone(p.state.Unproven)
+		if p.state.Outcome != Complete && (p.order == nil || p.state.Order.Revision < p.order.Revision) {
+			versions = append(versions, p.state.Order.Target)
+		}
+	}
+	for _, target := range p.superseded {
+		versions = append(versions, target)
+	}
+	return versions
 }
 
 // Accept implements relay.Versions. A hash of the request ID decides whether the
-// target or another version serves the request.
+// target or another version serves the request. The other versions are those that served
+// before: a version that was ordered earlier and not completed may be bad.
 func (s *Splitter) Accept(service, requestID string) func(version string) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	order, ordered := s.orders[service]
-	if !ordered {
+	p := s.services[service]
+	if p == nil {
+		s.mu.Unlock()
 		return nil
 	}
+	order, state, unproven := p.order, p.state, p.unproven()
+	s.mu.Unlock()
+	if order == nil {
+		if len(unproven) == 0 {
+			return nil
+		}
+		return func(version string) bool { return !slices.Contains(unproven, version) }
+	}
 	share := 0.0
-	if state, known := s.states[service]; known && state.Order.Revision == order.Revision {
-		share = state.Share
-		if state.Outcome == Reverted {
-			share = 0
+	switch {
+	case state != nil && state.Order.Revision == order.Revision:
+		if state.Outcome != Reverted {
+			share = state.Share
+		}
+	case s.Serving != nil && noneProven(s.Serving(service), order.Target, unproven):
+		share = 1
+	}
+	if hashFraction(requestID) < share {
+		return func(version string) bool { return version == order.Target }
+	}
+	return func(version string) bool { return version != order.Target && !slices.Contains(unproven, version) }
+}
+
+// noneProven reports whether all versions that serve beside the target are unproven ones,
+// as after an order back to the version before. The requests then have to go to the target.
+func noneProven(serving []string, target string, unproven []string) bool {
+	found := false
+	for _, version := range serving {
+		if version == target {
+			continue
+		}
+		if !slices.Contains(unproven, version) {
+			return false
 		}
+		found = true
 	}
-	toTarget := hashFraction(requestID) < share
-	return func(version string) bool { return (version == order.Target) == toTarget }
+	return found
 }
 
 // hashFraction hashes request IDs uniformly to [0, 1).
@@ -117,7 +227,7 @@
 	defer s.mu.Unlock()
 	counters := map[Key]Counters{}
 	for key, c := range s.counters {
-		if _, ordered := s.orders[key.Service]; ordered {
+		if p := s.services[key.Service]; p != nil && p.order != nil {
 			counters[key] = c
 		}
 	}
