Let retry budgets follow the number of daemons

Cause: a daemon's part of the extra retries was fixed at the first request for a service, with the daemons that were known then.

Change: the part is computed at each use, from the largest number of daemons known in the last 20 s: announcements also lapse in an outage. count no longer copies the list of daemons.

--- a/internal/edge/budgets.go
+++ b/internal/edge/budgets.go
@@ -22,7 +22,7 @@
 // retryBudgets holds the retry budget of each service. The ratio of retries to
 // requests applies to the daemon's own requests, so that the fleet keeps the
 // ratio without communication. The retries allowed in addition to the ratio are
-// divided equally among the daemons.
+// divided equally among the daemons, whose number may change at any time.
 type retryBudgets struct {
 	bounds  settings.Bounds
 	clock   clockwork.Clock
@@ -36,19 +36,21 @@
 	return &retryBudgets{bounds: bounds, clock: clock, daemons: daemons, services: map[string]*retry.Budget{}}
 }
 
-// forService returns the budget of a service, which it creates on first use.
+// forService returns the budget of a service with the daemon's current part of the fleet's
+// retries. It creates the budget on first use.
 func (b *retryBudgets) forService(service string) *retry.Budget {
+	floor := b.bounds.RetryExtra * budgetFraction / b.bounds.RetryWindow.Seconds() / float64(max(b.daemons(), 1))
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	budget := b.services[service]
 	if budget == nil {
-		floor := b.bounds.RetryExtra * budgetFraction / b.bounds.RetryWindow.Seconds() / float64(max(b.daemons(), 1))
 		budget = retry.NewBudget(retry.BudgetConfig{
 			Clock: b.clock, Ratio: min(b.bounds.RetryRatio, retry.MaxRatio) * budgetFraction, FloorPerSecond: floor,
 			Burst: maxRetryBurst, NoPriorLoad: true,
 		})
 		b.services[service] = budget
 	}
+	b.mu.Unlock()
+	budget.SetFloor(floor)
 	return budget
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -266,7 +266,7 @@
 	d.requestMemory, d.replyMemory = memoryBudget(s, requestMemoryShare), memoryBudget(s, replyMemoryShare)
 	d.relay = relay.New(relay.Options{
 		Clock: d.clock, Log: d.log, Headers: d.platform.Headers, Configuration: d.state, Instances: d.instances, Pool: pool,
-		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.count), Versions: d.splitter,
+		Quota: d.agent, Meter: d.agent, RetryBudget: newRetryBudgets(s.Bounds, d.clock, d.members.limitCount), Versions: d.splitter,
 		Demand:        d.estimator,
 		Crashes:       d.crashWatch,
 		RequestMemory: d.requestMemory, ReplyMemory: d.replyMemory,
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -60,6 +60,7 @@
 	announced map[string]member // by key, this daemon included
 	lease     store.LeaseID
 	silent    map[string]bool // daemons that don't report to the coordinator, by reportID
+	size      fleetSize
 	// removed receives an item when this daemon's announcement disappears.
 	removed chan struct{}
 }
@@ -172,7 +173,19 @@
 }
 
 // count returns the number of daemons, this one included.
-func (m *members) count() int { return len(m.others()) + 1 }
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := len(m.announced)
+	if _, listed := m.announced[m.key()]; !listed {
+		count++
+	}
+	return count
+}
+
+// limitCount returns the number of daemons among which limits of the fleet are divided:
+// the largest that was known lately.
+func (m *members) limitCount() int { return m.size.observe(m.count()) }
 
 // run announces the daemon and renews the announcement until ctx is done.
 func (m *members) run(ctx context.Context) error {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -134,6 +134,19 @@
 	return true
 }
 
+// SetFloor changes the floor, in retries per second. Saved retries beyond one second of
+// the new floor are lost.
+func (b *Budget) SetFloor(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if perSecond = max(0, perSecond); perSecond == b.config.FloorPerSecond {
+		return
+	}
+	b.decay()
+	b.config.FloorPerSecond = perSecond
+	b.floorRetries = min(b.floorRetries, perSecond)
+}
+
 // Counts holds the counters of a budget at one time.
 type Counts struct {
 	// Requests counts first attempts, Retries allowed retries and Refused denied
