Divide limits by the recorded number of daemons

Cause: parts of limits follow the number of announced daemons, and announcements lapse in an outage.

Change: the coordinator records the number of daemons without a lease, and parts of limits follow the largest number known in the last 20 s: quota and slack without a coordinator, idle connections, trials of the crash guard, retries.

--- a/internal/coordination/agent.go
+++ b/internal/coordination/agent.go
@@ -81,7 +81,7 @@
 	Log         *slog.Logger
 	Link        Link
 	Instances   *fleet.Set
-	Daemons     func() int           // number of live daemons
+	Daemons     func() int           // largest number of daemons known lately
 	Civil       func() time.Time     // wall-clock time
 	Now         func() time.Duration // monotonic, includes time in suspension
 	UsageWindow time.Duration
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -115,7 +115,7 @@
 		f.names = append(f.names, coordination.DaemonID(fmt.Sprintf("d%d", i), incarnation))
 		c := coordination.NewCoordinator(coordination.CoordinatorConfig{
 			Log: log, Token: func() int64 { return f.tokens[i] }, Table: func() *traffic.Table { return f.table },
-			Crashes: guard, Now: f.now, Civil: clock.Now, Daemons: func() int { return n }, Members: func() []string { return f.names },
+			Crashes: guard, Now: f.now, Civil: clock.Now, Daemons: func() int { return n }, KnownDaemons: func() int { return n }, Members: func() []string { return f.names },
 			Rollouts:       func() []*coordinatorv1.RolloutState { return nil },
 			Slack:          func() float64 { return slack / 2 },
 			AddMirrorDelta: func(*coordinatorv1.ReportRequest, *coordinatorv1.ReportResponse) {},
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -50,6 +50,9 @@
 	Now   func() time.Duration  // monotonic, includes time in suspension
 	// Daemons returns the number of live daemons.
 	Daemons func() int
+	// KnownDaemons returns the largest number of daemons known lately. What daemons may use
+	// of a quota without a coordinator follows from it.
+	KnownDaemons func() int
 	// Members returns the DaemonID of each announced daemon.
 	Members func() []string
 	Civil   func() time.Time // wall-clock time
@@ -140,7 +143,7 @@
 func NewCoordinator(config CoordinatorConfig) *Coordinator {
 	return &Coordinator{
 		config: config, buckets: map[string]*bucket{}, reports: map[string]*daemonReport{}, loads: newLoadTotals(),
-		pool: newPool(poolConfig{now: config.Now, daemons: config.Daemons, slack: config.Slack}),
+		pool: newPool(poolConfig{now: config.Now, daemons: config.KnownDaemons, slack: config.Slack}),
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -180,7 +180,7 @@
 		Status: p.Reader.RolloutStatus,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
-	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.count, OnChange: d.logQuarantine})
+	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.limitCount, OnChange: d.logQuarantine})
 	d.buildCoordination()
 	d.buildRelay()
 	return d
@@ -225,6 +225,7 @@
 	s := d.settings
 	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
 		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
+		KnownDaemons:   d.members.limitCount,
 		AddMirrorDelta: d.addMirrorDelta,
 		Members:        d.members.reportIDs, Civil: d.civil.Now,
 		Rollouts: d.rolloutStates, Crashes: d.crashGuard,
@@ -233,8 +234,8 @@
 	d.link.local = coordinatorServer{d.coordinator, d}
 	d.agent = coordination.NewAgent(coordination.AgentConfig{
 		Daemon: reportID(d.members.self), Log: d.log, Link: d.link, Instances: d.instances,
-		Daemons: d.members.count, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
-		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.count()) },
+		Daemons: d.members.limitCount, Civil: d.civil.Now, Now: bootclock.Now, UsageWindow: s.Bounds.UsageWindow,
+		SlackShare: func() float64 { return s.Bounds.QuotaSlack / 2 / float64(d.members.limitCount()) },
 		Crashes:    d.crashGuard, Demand: d.serviceDemand,
 		Evidence:   d.versionEvidence,
 		Rate:       func() float64 { return d.rate.update(bootclock.Now()) },
@@ -270,7 +271,7 @@
 		Demand:        d.estimator,
 		Crashes:       d.crashWatch,
 		RequestMemory: d.requestMemory, ReplyMemory: d.replyMemory,
-		DataCentre: s.DataCentre, DaemonCount: d.members.count, MaxKeyAge: s.Bounds.KeyRevocation - keyCheckMargin,
+		DataCentre: s.DataCentre, DaemonCount: d.members.limitCount, MaxKeyAge: s.Bounds.KeyRevocation - keyCheckMargin,
 		OnRequest: func() { d.rate.count.Add(1) },
 		Draining:  d.draining.Load, RefuseDuringShutdown: func(deadline time.Time) bool { return d.stopping.Load().refuses(time.Now(), deadline) },
 	})
@@ -392,6 +393,7 @@
 		{serving, duty.Duty{Name: "lease", Run: d.holder.Run}},
 		{serving, duty.Duty{Name: "roll-outs", Run: d.rollouts.Run}},
 		{serving, duty.Duty{Name: "crash record", Run: d.keepCrashes}},
+		{serving, duty.Duty{Name: "fleet size", Run: d.keepFleetSize}},
 	}
 	if d.settings.CloudAddress != "" {
 		if d.settings.HasDuty("metering") {
--- a/internal/edge/fleetsize.go
+++ b/internal/edge/fleetsize.go
@@ -1,10 +1,28 @@
 package edge
 
 import (
+	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+)
+
+const (
+	// fleetSizeKey is the store key of the number of daemons, which the coordinator keeps.
+	// Unlike announcements it has no lease, so that daemons that start after an outage of
+	// the store know how many others there are before these are announced again.
+	fleetSizeKey = ownPrefix + "fleet-size"
+	// fleetSizeInterval is the time between two checks whether the record is right.
+	fleetSizeInterval = time.Second
+	// fleetSizeTimeout bounds a write of the record.
+	fleetSizeTimeout = 800 * time.Millisecond
+	// maxFleetSize bounds the number in the record, which another writer may have left.
+	maxFleetSize = 100_000
 )
 
 // fleetSizeMemory is how long a larger number of daemons is remembered. Announcements that
@@ -33,3 +51,40 @@
 	}
 	return f.peak
 }
+
+// keepFleetSize writes the number of daemons while this daemon is the coordinator. It
+// waits until the number is the same at two checks, since daemons start one by one.
+func (d *Daemon) keepFleetSize(ctx context.Context) error {
+	last := 0
+	return duty.Every(ctx, fleetSizeInterval, func(ctx context.Context) {
+		size := d.members.limitCount()
+		settled := size == last
+		last = size
+		if !d.holder.Valid() || !settled {
+			return
+		}
+		current, _ := d.state.fleet.Get(fleetSizeKey)
+		value := strconv.Itoa(size)
+		if string(current.Value) == value {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, fleetSizeTimeout)
+		defer cancel()
+		if _, err := d.platform.Store.Txn(ctx, nil, []store.Op{{Key: fleetSizeKey, Value: []byte(value)}}); err != nil {
+			d.log.Warn("fleet size not written", "daemons", size, "error", err)
+		}
+	})
+}
+
+// applyFleetSize applies the record of the number of daemons.
+func (d *Daemon) applyFleetSize(c mirror.Change) {
+	if c.Deleted {
+		return
+	}
+	size, err := strconv.Atoi(string(c.Value))
+	if err != nil || size < 1 || size > maxFleetSize {
+		d.log.Warn("fleet size ignored", "revision", c.ModRevision, "error", err)
+		return
+	}
+	d.members.size.observe(size)
+}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -8,12 +8,16 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/rollout"
 )
 
-// applyOtherChange applies a change of the record of crashes, or of a roll-out order or
-// record in the store. It ignores other keys.
+// applyOtherChange applies a change of the record of crashes or of the fleet's size, or of
+// a roll-out order or record in the store. It ignores other keys.
 func (d *Daemon) applyOtherChange(c mirror.Change) {
-	if c.Key == crashesKey {
+	switch c.Key {
+	case crashesKey:
 		d.applyCrashRecord(c)
 		return
+	case fleetSizeKey:
+		d.applyFleetSize(c)
+		return
 	}
 	if strings.HasPrefix(c.Key, rollout.KeyPrefix) {
 		d.applyRecord(c)
