Leave other replies out of the bodies of replies

Cause: the end of a body was taken from its framing alone, so that a second copy before the end of the connection became a part of a body without a length, and a late reply to an earlier request a part of one with a length.

Change: package exchange recognises the head of a reply with the ID of this request or an earlier one of the connection within a body. An equal second copy proves a body without a length to be whole; otherwise the reply is truncated.

--- a/internal/exchange/bounds_test.go
+++ b/internal/exchange/bounds_test.go
@@ -67,7 +67,7 @@
 			_, _ = server.Write(data)
 			_ = server.Close()
 		}()
-		status, body, err := exchange.ReadForTest(client, http.MethodPost, func(h http.Header, _ bool) bool {
+		status, body, err := exchange.ReadForTest(client, http.MethodPost, func(h http.Header, _ string, _ bool) bool {
 			return h.Get("X-Request-Id") == "r" || closeAfter
 		})
 		if err == nil && (status < 200 || status > 999 || len(body) > len(data)) {
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -38,6 +38,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration // announced by the upstream; 0 if unknown
 	reused      bool          // it has carried an earlier exchange
+	earlier     []string      // IDs of the last requests that it has carried
 }
 
 // dial connects within timeout. The connection fails if the peer does not
--- /dev/null
+++ b/internal/exchange/embedded.go
@@ -0,0 +1,241 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"hash/maphash"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// statusLinePrefix begins the head of each reply.
+	statusLinePrefix = "HTTP/1."
+	// statusLineLen is the length of a status line up to its reason.
+	statusLineLen = len("HTTP/1.1 200")
+	// maxEarlierIDs is the number of requests of a connection whose late replies are
+	// recognised within a later one.
+	maxEarlierIDs = 16
+)
+
+var (
+	errEmbeddedReply = errors.New("another reply begins within the body")
+	errRepeatedReply = errors.New("the reply is repeated with another body")
+)
+
+// embeddedReplies finds the head of another reply within a body: a second copy of this
+// reply, or a late reply to an earlier request of the connection. Such bytes belong to no
+// request. The framing of the body does not tell them apart if it is only the end of the
+// connection, or if they come before the end of a body with a length.
+type embeddedReplies struct {
+	source io.Reader
+	// endsWithConnection reports that the body has no framing of its own.
+	endsWithConnection bool
+	method             string
+	// id is that of the request. earlier are those of earlier requests of the connection.
+	id      string
+	earlier []string
+	matches func(h http.Header, id string, reused bool) bool
+
+	part    []byte
+	ready   []byte // part of the body that has not been read
+	pending []byte // may be the start of another reply
+	err     error  // of source
+	digest  maphash.Hash
+	length  int64 // bytes of the body, up to ready
+}
+
+// Read implements io.Reader. It returns an error if the body contains another reply, unless
+// the body ends with the connection and is followed by a second copy of itself.
+func (e *embeddedReplies) Read(buffer []byte) (int, error) {
+	for len(e.ready) == 0 {
+		if e.err != nil {
+			return 0, e.err
+		}
+		if len(e.pending) == 0 {
+			n, err := e.source.Read(buffer)
+			e.err = err
+			if !bytes.Contains(buffer[:n], []byte(statusLinePrefix)) && commonEnd(buffer[:n], statusLinePrefix) == 0 {
+				e.count(buffer[:n])
+				return n, err
+			}
+			e.pending = append(e.pending, buffer[:n]...)
+			e.scan()
+			continue
+		}
+		if e.part == nil {
+			e.part = make([]byte, max(len(buffer), readBufferBytes))
+		}
+		n, err := e.source.Read(e.part)
+		e.err = err
+		e.pending = append(e.pending, e.part[:n]...)
+		e.scan()
+	}
+	n := copy(buffer, e.ready)
+	e.ready = e.ready[n:]
+	return n, nil
+}
+
+// scan moves to ready what is certainly a part of the body.
+func (e *embeddedReplies) scan() {
+	body := 0 // length of that part
+	for {
+		start := bytes.Index(e.pending[body:], []byte(statusLinePrefix))
+		if start < 0 {
+			body = len(e.pending)
+			if e.err == nil {
+				body -= commonEnd(e.pending, statusLinePrefix)
+			}
+			break
+		}
+		start += body
+		head, known := replyHead(e.pending[start:])
+		if !known && e.err == nil {
+			body = start
+			break
+		}
+		if !known && e.endsWithConnection && bytes.Contains(e.pending[start:], []byte("\r\n")) {
+			e.release(start)
+			e.err = errRepeatedReply // cut within its head
+			return
+		}
+		if id, found := e.identify(head); found {
+			e.release(start)
+			e.err = e.endAt(id)
+			return
+		}
+		body = start + len(statusLinePrefix)
+	}
+	e.release(body)
+}
+
+// release moves the first bytes of pending to ready.
+func (e *embeddedReplies) release(count int) {
+	e.ready = append(e.ready[:0:0], e.pending[:count]...)
+	e.pending = append(e.pending[:0], e.pending[count:]...)
+	e.count(e.ready)
+}
+
+// count adds a part of the body to its length and digest.
+func (e *embeddedReplies) count(part []byte) {
+	e.length += int64(len(part))
+	if e.endsWithConnection {
+		_, _ = e.digest.Write(part) // never fails
+	}
+}
+
+// identify returns the ID of the request of this connection to which a head belongs.
+func (e *embeddedReplies) identify(head http.Header) (string, bool) {
+	if head == nil || e.matches == nil {
+		return "", false
+	}
+	for _, id := range append([]string{e.id}, e.earlier...) {
+		if e.matches(head, id, true) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// endAt returns the error with which the body ends where a reply to the request with an ID
+// begins: io.EOF if the body is whole, since a second copy of it follows.
+func (e *embeddedReplies) endAt(id string) error {
+	if id != e.id || !e.endsWithConnection {
+		return errEmbeddedReply
+	}
+	rest := io.MultiReader(bytes.NewReader(e.pending), &failed{e.source, e.err})
+	copied, err := http.ReadResponse(bufio.NewReader(rest), &http.Request{Method: e.method})
+	if err != nil {
+		return errRepeatedReply
+	}
+	var digest maphash.Hash
+	digest.SetSeed(e.digest.Seed())
+	// One byte more than the body has tells a longer copy from an equal one.
+	n, err := io.Copy(&digest, io.LimitReader(copied.Body, e.length+1))
+	if err != nil || n != e.length || digest.Sum64() != e.digest.Sum64() {
+		return errRepeatedReply
+	}
+	return io.EOF
+}
+
+// failed is a reader that has returned an error already; nil if it has not.
+type failed struct {
+	io.Reader
+	err error
+}
+
+func (f *failed) Read(buffer []byte) (int, error) {
+	if f.err != nil {
+		return 0, f.err
+	}
+	return f.Reader.Read(buffer)
+}
+
+// commonEnd returns the length of the longest end of data with which text begins.
+func commonEnd(data []byte, text string) int {
+	for n := min(len(data), len(text)-1); n > 0; n-- {
+		if string(data[len(data)-n:]) == text[:n] {
+			return n
+		}
+	}
+	return 0
+}
+
+// replyHead returns the headers of a reply that begins with data, or nil if data is not the
+// start of a reply. known is false if more data is needed to tell. Then the headers are
+// those that are complete.
+func replyHead(data []byte) (head http.Header, known bool) {
+	head = http.Header{}
+	for first := true; ; first = false {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			if first && !statusLineStart(data) {
+				return nil, true
+			}
+			return head, len(data) > maxHeadBytes
+		}
+		if end == 0 || data[end-1] != '\r' {
+			return nil, true
+		}
+		line := data[:end-1]
+		data = data[end+1:]
+		if first {
+			if len(line) < statusLineLen || !statusLineStart(line) {
+				return nil, true
+			}
+			continue
+		}
+		if len(line) == 0 {
+			return head, true
+		}
+		name, value, isHeader := bytes.Cut(line, []byte(":"))
+		if !isHeader || len(name) == 0 || bytes.ContainsAny(name, " \t") || len(head) > maxHeadLines {
+			return nil, true
+		}
+		head.Add(string(name), string(bytes.TrimSpace(value)))
+	}
+}
+
+// statusLineStart reports whether data may be the start of a status line.
+func statusLineStart(data []byte) bool {
+	const pattern = "HTTP/1.d ddd"
+	for i := range min(len(data), len(pattern)) {
+		isDigit := data[i] >= '0' && data[i] <= '9'
+		if pattern[i] == 'd' && !isDigit || pattern[i] != 'd' && data[i] != pattern[i] {
+			return false
+		}
+	}
+	return len(data) <= statusLineLen+maxHeadBytes
+}
+
+// remember adds the ID of a request that the connection has carried.
+func (c *conn) remember(id string) {
+	if id == "" {
+		return
+	}
+	c.earlier = append(c.earlier, id)
+	c.earlier = slices.Delete(c.earlier, 0, max(len(c.earlier)-maxEarlierIDs, 0))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -47,9 +48,16 @@
 	// NewConnection forbids reusing an idle connection, which the peer may be
 	// closing at that moment.
 	NewConnection bool
-	// Matches reports whether a reply belongs to the request; nil accepts any. reused
-	// tells that the connection has carried earlier requests.
-	Matches func(h http.Header, reused bool) bool
+	// ID identifies the request.
+	ID string
+	// Matches reports whether a reply belongs to the request with an ID; nil accepts any.
+	// reused tells that the connection has carried other requests.
+	Matches func(h http.Header, id string, reused bool) bool
+}
+
+// matches reports whether a reply on a connection belongs to the request.
+func (r *Request) matches(h http.Header, c *conn) bool {
+	return r.Matches == nil || r.Matches(h, r.ID, c.reused)
 }
 
 // Reply is the head of a response and its body. Close must be called.
@@ -60,6 +68,7 @@
 	Length int64
 
 	response   *http.Response
+	body       io.Reader // of response, without other replies
 	pool       *Pool
 	peer       Peer
 	conn       *conn
@@ -92,10 +101,12 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return &Reply{
+	reply := &Reply{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		response: response, pool: p, peer: peer, conn: c, written: written, stopCancel: stopCancel,
-	}, nil
+	}
+	reply.body = reply.withoutOtherReplies(r)
+	return reply, nil
 }
 
 // send writes the request. The error wraps ErrNotSent if no byte was written. A
@@ -157,7 +168,7 @@
 				return nil, errors.Errorf("more than %d interim replies", maxInterimReplies)
 			}
 			continue
-		case r.Matches == nil || r.Matches(response.Header, c.reused):
+		case r.matches(response.Header, c):
 			return response, nil
 		}
 		skipped++
@@ -172,9 +183,23 @@
 	}
 }
 
+// withoutOtherReplies returns a reader of the body that does not return other replies as a
+// part of it, and remembers the request on the connection.
+func (r *Reply) withoutOtherReplies(request *Request) io.Reader {
+	earlier := slices.Clone(r.conn.earlier)
+	r.conn.remember(request.ID)
+	if request.ID == "" || r.response.Body == http.NoBody {
+		return r.response.Body
+	}
+	return &embeddedReplies{
+		source: r.response.Body, endsWithConnection: !r.Framed(), method: request.Method,
+		id: request.ID, earlier: earlier, matches: request.Matches,
+	}
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (r *Reply) Read(buffer []byte) (int, error) {
-	n, err := r.response.Body.Read(buffer)
+	n, err := r.body.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		r.bodyRead = true
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -65,8 +65,8 @@
 func newRequest(id string, body string) *exchange.Request {
 	return &exchange.Request{
 		Method: http.MethodPost, Target: "/a/b?c=d", Host: "example", Body: []byte(body), HasBody: true,
-		Header:  http.Header{"X-Request-Id": {id}},
-		Matches: func(h http.Header, _ bool) bool { return h.Get("X-Request-Id") == id },
+		Header: http.Header{"X-Request-Id": {id}}, ID: id,
+		Matches: func(h http.Header, id string, _ bool) bool { return h.Get("X-Request-Id") == id },
 	}
 }
 
--- a/internal/exchange/export_test.go
+++ b/internal/exchange/export_test.go
@@ -8,7 +8,7 @@
 )
 
 // ReadForTest reads one reply to a request with a method from c.
-func ReadForTest(c net.Conn, method string, matches func(http.Header, bool) bool) (status int, body []byte, err error) {
+func ReadForTest(c net.Conn, method string, matches func(http.Header, string, bool) bool) (status int, body []byte, err error) {
 	limiter := &headLimiter{Conn: c}
 	reply, err := readReply(
 		&conn{Conn: c, limiter: limiter, reader: bufio.NewReader(limiter), reused: true},
@@ -19,3 +19,14 @@
 	body, err = io.ReadAll(reply.Body)
 	return reply.StatusCode, body, err
 }
+
+// ErrRepeatedReplyForTest is returned for a body that seems to be followed by a cut copy.
+var ErrRepeatedReplyForTest = errRepeatedReply
+
+// BodyForTest returns the body of a reply that ends with its connection.
+func BodyForTest(source io.Reader, id string, earlier []string) io.Reader {
+	return &embeddedReplies{
+		source: source, endsWithConnection: true, method: http.MethodGet, id: id, earlier: earlier,
+		matches: func(h http.Header, id string, _ bool) bool { return h.Get("X-Request-Id") == id },
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -324,9 +324,7 @@
 		Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host, Body: q.body.data,
 		HasBody: q.http.ContentLength != 0, NewConnection: !q.route.Repeatable(),
 		Header: q.relay.options.Headers.ForInstance(q.http.Header, attempt),
-		Matches: func(h http.Header, reused bool) bool {
-			return q.relay.options.Headers.Matches(h, q.info.ID, reused)
-		},
+		ID:     q.info.ID, Matches: q.relay.options.Headers.Matches,
 	}
 }
 
