Answer every request before a stopping daemon closes its connections

Cause: stop closed all connections at the end of the grace. Requests accepted late could have their deadline at that very moment.

Change: 0.2 s before, requests without a response end with 502, or with 503 if nothing was sent to an instance; late requests have to end before that.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -34,6 +34,9 @@
 	// exitMargin is the part of the grace period reserved for the exit of the
 	// process.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the part of the grace period, before exitMargin, in which requests
+	// are answered that have no response yet.
+	answerMargin = 200 * time.Millisecond
 	// drainPollInterval is the time between two checks whether requests are in
 	// flight.
 	drainPollInterval = 20 * time.Millisecond
@@ -136,7 +139,8 @@
 func (d *Daemon) stop(ctx context.Context, s *servers) {
 	start := time.Now()
 	grace := d.settings.Bounds.Grace - exitMargin
-	d.stopping.Store(&stopTimes{acceptAllUntil: start.Add(fraction(grace, acceptAllFraction)), finishBy: start.Add(grace)})
+	answerBy := start.Add(grace - answerMargin)
+	d.stopping.Store(&stopTimes{acceptAllUntil: start.Add(fraction(grace, acceptAllFraction)), finishBy: answerBy})
 	d.draining.Store(true)
 	d.log.Info("daemon draining", "grace", grace)
 	d.members.withdraw(ctx)
@@ -147,6 +151,9 @@
 	// The listener stays open until the requests in flight have finished, so that
 	// new requests get a refusal instead of a connection error.
 	for ctx.Err() == nil && d.relay.Active() > 0 {
+		if time.Now().After(answerBy) {
+			d.relay.EndUnanswered()
+		}
 		duty.Sleep(ctx, drainPollInterval)
 	}
 	if err := d.agent.FlushUsage(ctx, d.platform.Store, usageCountsKey); err != nil {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -61,5 +61,5 @@
 
 // String returns the name used in logs and metrics.
 func (o attemptOutcome) String() string {
-	return [...]string{"answered", "unsent", "misdirected", "refused", "lost", "broken", "left", "expired"}[o]
+	return [...]string{"answered", "unsent", "misdirected", "refused", "lost", "broken", "left", "expired", "stopped"}[o]
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -133,10 +133,21 @@
 	options   Options
 	active    atomic.Int64
 	latencies latencies
+	// ending is done when requests without a response end.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a Relay.
-func New(options Options) *Relay { return &Relay{options: options} }
+func New(options Options) *Relay {
+	r := &Relay{options: options}
+	r.ending, r.end = context.WithCancel(context.Background())
+	return r
+}
+
+// EndUnanswered ends all requests to which no part of a response was sent. Their clients
+// are told whether they ran.
+func (rl *Relay) EndUnanswered() { rl.end() }
 
 // Active returns the number of admitted requests that have not finished.
 func (rl *Relay) Active() int { return int(rl.active.Load()) }
@@ -165,6 +176,7 @@
 	ran          bool          // an instance may have run the request
 	metered      bool          // counted by the Meter
 	headWritten  bool          // the head of the response was written
+	responding   atomic.Bool   // the same, for other goroutines
 	bodyStarted  bool          // a part of a body that is not a stream was forwarded
 	attemptTimer *attemptTimer // of the current attempt
 	retryTaken   atomic.Bool   // the next attempt was already taken from the retry budget
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -140,6 +140,7 @@
 		return
 	}
 	q.headWritten = true
+	q.responding.Store(true)
 	h := q.writer.Header()
 	for name, values := range q.relay.options.Headers.ForClient(reply.Header) {
 		h[name] = values
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -49,14 +49,24 @@
 	left
 	// expired: the deadline passed, or the account keys became too old.
 	expired
+	// stopped: the daemon stops before a part of a response reached the client.
+	stopped
 )
 
+var errStopped = errors.New("the daemon stops")
+
 // serve makes attempts until one succeeds or no further one is allowed.
 func (q *request) serve() {
 	q.relay.options.RetryBudget.AddRequest(q.service.Name)
 	q.relay.options.Demand.Offered(q.service.Name, q.info.PromptTokens, q.info.SharedTokens)
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer context.AfterFunc(q.relay.ending, func() {
+		if !q.responding.Load() {
+			abandon(errStopped)
+		}
+	})()
 	unsentCount := 0
 	stream := &streamState{lastID: q.info.LastEvent}
 	for {
@@ -79,6 +89,9 @@
 		case expired:
 			q.respondProblem(q.deadlinePassed())
 			return
+		case stopped:
+			q.respondProblem(q.daemonStopped())
+			return
 		case unsent, misdirected:
 			unsentCount++
 			if unsentCount > maxUnsentAttempts || q.remaining() < minAttemptTime || outcome == misdirected && !q.takeRetry() {
@@ -185,6 +198,14 @@
 	return &problem{code: result.DeadlineExceeded, status: http.StatusGatewayTimeout, detail: "the deadline passed"}
 }
 
+// daemonStopped returns the problem for a request that the stop of the daemon has ended.
+func (q *request) daemonStopped() *problem {
+	if !q.ran {
+		return notExecuted(result.Draining, "the daemon stopped before the request was sent", 0)
+	}
+	return outcomeUnknown(result.UpstreamIncomplete, "the daemon stopped before the instance had answered")
+}
+
 // attempt sends the request to one instance and relays the reply. The string is
 // the reason for the log if the attempt failed.
 func (q *request) attempt(ctx context.Context, reservation *fleet.Reservation, stream *streamState) (attemptOutcome, string) {
@@ -290,6 +311,8 @@
 	switch {
 	case q.http.Context().Err() != nil:
 		return left, true
+	case errors.Is(context.Cause(ctx), errStopped):
+		return stopped, true
 	case errors.Is(context.Cause(ctx), errAttemptTimeout):
 		q.observeFailure(reservation, time.Time{})
 		return lost, true
