Forward replies for which no memory for buffers is left

Cause: a reply without memory was treated like one that broke off.

Change: it is forwarded as it arrives. The raw instance of the tests reads the request's body, since closing before that resets the connection.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -41,6 +41,10 @@
 				if err != nil {
 					return
 				}
+				// With a part of the request unread, closing would reset the connection.
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
 				_ = answer(c, r.Header.Get("X-Request-Id")) // ends when the daemon closes
 			}()
 		}
@@ -291,3 +295,44 @@
 		g.Expect(a.body).To(Equal("ok"))
 	}
 }
+
+// Bodies that stop halfway use up the memory for buffers of replies until their deadline.
+// Guards against failing the sound replies of other instances meanwhile: they are forwarded
+// as they arrive.
+func TestSoundRepliesPassWhileBuffersAreFull(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(t)
+	s.setTimeout(20 * time.Second)
+	var halfway atomic.Int64
+	release := make(chan struct{})
+	s.rawInstance("w1", "report", func(w io.Writer, id string) error { // an event that does not end
+		_, err := io.WriteString(w, head(id, "Content-Type: text/event-stream\r\n\r\ndata: ")+strings.Repeat("x", 700<<10))
+		halfway.Add(1)
+		<-release
+		return err
+	})
+	body := strings.Repeat("y", 700<<10) // takes 1 MiB of the 10 MiB
+	for service, status := range map[string]string{"order": "200 OK", "lookup": "404 Not Found"} {
+		s.rawInstance("w-"+service, service, func(w io.Writer, id string) error {
+			_, err := fmt.Fprintf(w, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+			return err
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	defer close(release)
+	for range 16 {
+		go s.send(ctx, "/report/1", map[string]string{"X-Deadline-Ms": "20000"})
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Eventually(halfway.Load, 5*time.Second).Should(BeNumerically(">=", 14))
+	time.Sleep(100 * time.Millisecond)
+	for service, status := range map[string]int{"order": http.StatusOK, "lookup": http.StatusNotFound} {
+		for range 10 {
+			a := s.send(t.Context(), "/"+service+"/1", nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Equal(status), "%.200s", a.body)
+			g.Expect(a.body).To(Equal(body))
+		}
+	}
+}
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -15,7 +15,7 @@
 
 // maxBufferedBytes is the largest body that is buffered until it is complete, so
 // that the request can be retried if the body is truncated. Larger bodies are
-// forwarded as they arrive.
+// forwarded as they arrive, and so are others while the memory for buffers is used up.
 const maxBufferedBytes = 1 << 20
 
 // maxReplyBytes is the largest body of a reply that is not a stream. A longer one
@@ -33,14 +33,12 @@
 	defer body.free()
 	err := body.readAll(reply, maxBufferedBytes)
 	q.attemptTimer.stop()
-	if err != nil && !errors.Is(err, errBodyTooLarge) {
+	if err != nil && !forwardable(err) {
 		if outcome, ended := q.contextOutcome(ctx, reservation); ended {
 			return outcome, err.Error()
 		}
 		q.observeFailure(reservation, sent)
-		if !errors.Is(err, errBufferMemory) {
-			q.connectionBroke(reservation)
-		}
+		q.connectionBroke(reservation)
 		return lost, "truncated reply: " + err.Error()
 	}
 	latency := q.relay.options.Clock.Since(sent)
@@ -63,6 +61,12 @@
 	return answered, ""
 }
 
+// forwardable reports whether a body that could not be buffered can be forwarded as it
+// arrives. The memory may be used up by other replies, which must not fail this one.
+func forwardable(err error) bool {
+	return errors.Is(err, errBodyTooLarge) || errors.Is(err, errBufferMemory)
+}
+
 // observeSuccess records a whole reply that is not a stream, or the start of one that has
 // been forwarded whole.
 func (q *request) observeSuccess(reservation *fleet.Reservation, latency time.Duration) {
@@ -71,7 +75,7 @@
 	q.relay.options.Versions.Observe(q.service.Name, q.route.Name, reservation.Version, false, latency)
 }
 
-// relayUnbuffered forwards a reply that is too large to be buffered. start is the
+// relayUnbuffered forwards a reply that can't be buffered. start is the
 // part of the body that has been read.
 func (q *request) relayUnbuffered(ctx context.Context, reply *exchange.Reply, reservation *fleet.Reservation, start *buffer) (attemptOutcome, string) {
 	q.bodyStarted = true
@@ -114,8 +118,8 @@
 	body := buffer{budget: q.relay.options.ReplyMemory}
 	defer body.free()
 	err := body.readAll(reply, maxBufferedBytes)
-	tooLarge := errors.Is(err, errBodyTooLarge)
-	if err != nil && !tooLarge {
+	unbuffered := err != nil && forwardable(err)
+	if err != nil && !unbuffered {
 		return lost, "truncated failure " + status
 	}
 	if q.route.Repeatable() && q.attempts < q.route.Attempts && reply.Status >= http.StatusInternalServerError {
@@ -123,7 +127,7 @@
 	}
 	q.meterOnce()
 	q.outcome = "status " + status + " of the instance"
-	if tooLarge {
+	if unbuffered {
 		return q.relayUnbuffered(ctx, reply, reservation, &body)
 	}
 	q.writeHead(reply, int64(len(body.data)))
