--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -314,7 +314,7 @@
 	body := strings.Repeat("y", 700<<10) // takes 1 MiB of the 10 MiB
 	for service, status := range map[string]string{"order": "200 OK", "lookup": "404 Not Found"} {
 		s.rawInstance("w-"+service, service, func(w io.Writer, id string) error {
-			_, err := fmt.Fprintf(w, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+			_, err := fmt.Fprintf(w, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
 			return err
 		})
 	}
--- a/internal/rollout/successive_test.go
+++ b/internal/rollout/successive_test.go
@@ -22,7 +22,7 @@
 
 func newSuccessive(versions ...string) *successive {
 	s := &successive{scenario: newScenario(7), versions: versions, failing: map[string]float64{}, runs: map[string]int{}}
-	s.scenario.splitter.Serving = func(string) []string { return s.versions }
+	s.splitter.Serving = func(string) []string { return s.versions }
 	s.restartCoordinator()
 	return s
 }
@@ -31,7 +31,7 @@
 func (s *successive) restartCoordinator() {
 	s.token++
 	s.duty = rollout.New(s.config(func(string) []string { return s.versions }))
-	s.duty.SetOrder(s.scenario.order)
+	s.duty.SetOrder(s.order)
 }
 
 // newDaemon replaces the daemon by one that has just started and read the record.
@@ -46,9 +46,9 @@
 }
 
 func (s *successive) setOrder(target string) {
-	s.scenario.order = rollout.Order{Service: "s", Target: target, Within: 15 * time.Second, Revision: s.scenario.order.Revision + 10}
-	s.splitter.SetOrder(s.scenario.order)
-	s.duty.SetOrder(s.scenario.order)
+	s.order = rollout.Order{Service: "s", Target: target, Within: 15 * time.Second, Revision: s.order.Revision + 10}
+	s.splitter.SetOrder(s.order)
+	s.duty.SetOrder(s.order)
 }
 
 // send sends a number of requests.
@@ -111,7 +111,7 @@
 	s.play(t, 20)
 	s.newDaemon(t)
 	s.send(100) // before the daemon knows the order
-	s.splitter.SetOrder(s.scenario.order)
+	s.splitter.SetOrder(s.order)
 	s.send(100)
 	s.play(t, 99)
 	g.Expect(s.status()).To(Equal("complete"))
@@ -198,7 +198,7 @@
 			s.restartCoordinator()
 			s.send(100)
 			s.newDaemon(t)
-			s.splitter.SetOrder(s.scenario.order)
+			s.splitter.SetOrder(s.order)
 			s.send(100)
 			s.play(t, 99)
 			g.Expect(s.runs["v2"]).To(BeZero())
