Let the warm-up in the evacuation test follow the test's clock

Cause: the evacuations had the clock of the test, the warm-up that of the machine.

Change: the test runs in a bubble of testing/synctest, and each pick moves both clocks by 1 ms. The bound of each instance is worked out from the time that the test let pass since the first pick; no assertion is wider.

--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -19,7 +20,8 @@
 const evacuationBound = 5 * time.Second
 
 // evacuationTest is a daemon with ten instances in each of the data centres a, b and c.
-// Its clock moves only for the evacuations.
+// Its clock moves only for the evacuations; in a bubble of synctest, advance moves that of
+// the warm-up with it.
 type evacuationTest struct {
 	*Daemon
 	clock    time.Duration
@@ -41,6 +43,12 @@
 	return t
 }
 
+// advance moves both clocks. The caller runs in a bubble of synctest.
+func (t *evacuationTest) advance(d time.Duration) {
+	t.clock += d
+	time.Sleep(d)
+}
+
 // change applies the given orders as the operators' whole state, known to be current now.
 func (t *evacuationTest) change(dataCentres ...string) {
 	t.revision++
@@ -154,8 +162,12 @@
 // evacuated, and against instances that stay restrained although their entries say since
 // that they are warm.
 func TestEvacuatedInstancesComeBackCold(t *testing.T) {
+	synctest.Test(t, testEvacuatedInstancesComeBackCold)
+}
+
+func testEvacuatedInstancesComeBackCold(t *testing.T) {
 	g := NewWithT(t)
-	const rate = 16
+	const rate, pickInterval = 16, time.Millisecond
 	d := newEvacuationTest()
 	d.members.size.record(1)
 	d.state.table.Store(traffic.NewTable(1, nil, []*traffic.Service{{Name: "s", WarmupTime: time.Hour, WarmupRate: rate}}, nil, nil, traffic.Limits{}))
@@ -167,21 +179,22 @@
 	announce(0)
 	d.change()
 	d.change("a")
-	d.clock += evacuationBound / 4
+	d.advance(evacuationBound / 4)
 	d.change()
 	g.Expect(d.warmup.Cold()).To(BeZero(), "requests never ceased")
 	d.change("a")
-	d.clock += 2 * evacuationBound
-	began := time.Now()
+	d.advance(2 * evacuationBound)
 	d.change()
-	d.clock += evacuationReturnTime
+	d.advance(evacuationReturnTime)
 	g.Expect(d.warmup.Cold()).To(Equal(10))
 	sent := map[string]int{}
+	began := time.Now()
 	for range 1000 {
 		r, err := d.instances.Pick(fleet.Query{Service: "s", DataCentre: "a"})
 		g.Expect(err).NotTo(HaveOccurred())
 		sent[r.ID]++
 		r.Release()
+		d.advance(pickInterval)
 	}
 	share := 1 + rate*time.Since(began).Seconds()
 	total := 0
