--- a/internal/fleet/speeds_test.go
+++ b/internal/fleet/speeds_test.go
@@ -31,7 +31,7 @@
 const (
 	unevenDaemons   = 20
 	unevenInstances = 36
-	unevenSeeds     = 4
+	unevenSeeds     = 32
 	longRate        = 56 // requests per second of the long class, whose objective is 600 ms
 	shortRate       = 280
 	longObjective   = 600 * time.Millisecond
