Review case 7: streams are cut for 1.6 s of silence although no other worker can go on

Tried: a script with three daemons and two model workers, one of them draining; the other one makes no event for 2.0 s while one daemon is being stopped.

--- a/review/_src2/rig/rig.go
+++ b/review/_src2/rig/rig.go
@@ -516,7 +516,7 @@
 	return append([]Answer{}, c.answers...)
 }
 
-// Config is a configuration with one non-idempotent and one idempotent route.
+// Config is a configuration with one route of each kind.
 func Config(version int) []byte {
 	route := func(name, path, kind string, attempts int) map[string]any {
 		return map[string]any{
@@ -524,10 +524,18 @@
 			"service": "ledger", "attempts": attempts, "public": false, "sticky": false, "resumable": false,
 		}
 	}
+	// The query of the sheet: counter-query of tsd-ub.
+	query := map[string]any{
+		"name": "query", "host": Host, "pathPrefix": "/query/", "type": "streaming", "timeoutMs": 2500, "sloMs": 500, "priority": 0,
+		"service": "model", "attempts": 2, "public": false, "sticky": true, "resumable": true, "itlTargetMs": 400,
+	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 100, "proto": "h1", "tls": false}
+	}
 	value, _ := json.Marshal(map[string]any{
 		"configVer": version,
-		"routes":    []any{route("orders", "/orders/", "non_idempotent", 1), route("stock", "/stock/", "idempotent", 2)},
-		"services":  []any{map[string]any{"name": "ledger", "healthPath": "/healthz", "maxConns": 100, "proto": "h1", "tls": false}},
+		"routes":    []any{route("orders", "/orders/", "non_idempotent", 1), route("stock", "/stock/", "idempotent", 2), query},
+		"services":  []any{service("ledger"), service("model")},
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":   []any{map[string]any{"name": "desk", "apiKeys": []string{Key}}},
 	})
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/_src2/leave
+go build -o target/review-2/ ./review/_src2/leave ./review/_src2/silence
