Report a reset that a write has consumed instead of a complete body

Callers saw: an instance answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written. The caller of `rudderd edge` got that part as a complete answer. `rudderd edge` took a usage report whose answer broke off this way for accepted.

Cause: the system reports a reset to one call on the connection only. The upload is written by a goroutine. If its write gets ECONNRESET, the read that follows returns the end of the connection, at which a body without a length is complete. net/http writes and reads concurrently too.

Change: replyconn.Conn wraps the connections of the relay's exchanges and of the platform's clients. At the end of the connection it ends a write in progress, and returns the write's error instead of io.EOF if the connection failed. EPIPE is no such failure: it follows an orderly end.

Handled before, and unchanged: the clients over hertz (application services, engines, cloud, rudderctl, client library) write the whole request before they read, and a failed write is an error there; sound early answers, with a length or with an orderly end, are delivered. Their tests are here too.

--- /dev/null
+++ b/internal/app/brokenreply_test.go
@@ -0,0 +1,43 @@
+package app_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreamhttp"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
+)
+
+func newClient(t *testing.T) *app.HTTP {
+	t.Helper()
+	client, err := upstreamhttp.New(time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return app.NewHTTP(client, 1<<20)
+}
+
+// Guards against taking a part of a body without a length for the whole when the service
+// resets the connection while a long request is still being written.
+func TestResetDuringAnUploadIsNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	client := newClient(t)
+	for _, status := range []string{"200 OK", "400 Bad Request", "500 Failed"} {
+		server, err := rawreply.Start(rawreply.ResetEarly(func(*http.Request) string { return "HTTP/1.1 " + status + "\r\n\r\npart" }))
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(server.Close)
+		for range 20 {
+			reply, outcome, err := client.Call(t.Context(), app.Call{
+				Address: server.Address(), AttemptID: "a", Method: http.MethodPost, Path: "/",
+				Body: []byte(strings.Repeat("x", 16<<20)), Timeout: 5 * time.Second,
+			})
+			g.Expect(outcome).To(Equal(app.Lost), "%s: status %d, body %q", status, reply.Status, reply.Body)
+			g.Expect(err).To(HaveOccurred())
+		}
+	}
+}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -17,6 +17,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
 const (
@@ -36,7 +38,7 @@
 
 // conn is a connection to one instance.
 type conn struct {
-	net.Conn
+	*replyconn.Conn
 	limiter     *headLimiter
 	reader      *bufio.Reader // reads from limiter
 	idleSince   time.Time
@@ -71,8 +73,13 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect: %v", err)
 	}
-	limiter := &headLimiter{Conn: c}
-	return &conn{Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	wrapped := replyconn.New(c)
+	limiter := &headLimiter{Conn: wrapped}
+	return &conn{Conn: wrapped, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // openWithoutData reports whether an idle connection is open and has no unread
@@ -81,7 +88,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.Conn.(syscall.Conn)
+	syscallConn, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/exchange/export_test.go
+++ b/internal/exchange/export_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -9,10 +8,9 @@
 
 // ReadForTest reads one reply to a request with a method from c.
 func ReadForTest(c net.Conn, method string, matches func(http.Header, string, bool) bool) (status int, body []byte, err error) {
-	limiter := &headLimiter{Conn: c}
-	reply, err := readReply(
-		&conn{Conn: c, limiter: limiter, reader: bufio.NewReader(limiter), reused: true},
-		&Request{Method: method, Matches: matches})
+	reused := newConn(c)
+	reused.reused = true
+	reply, err := readReply(reused, &Request{Method: method, Matches: matches})
 	if err != nil {
 		return 0, nil, err
 	}
--- /dev/null
+++ b/internal/relay/brokenreply_test.go
@@ -0,0 +1,78 @@
+package relay_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
+)
+
+// rawServer starts an instance that serves each connection with serve.
+func (s *fixture) rawServer(id, service string, serve func(*net.TCPConn, *http.Request)) {
+	s.t.Helper()
+	server, err := rawreply.Start(serve)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(server.Close)
+	s.set.Put(fleet.Description{ID: id, Service: service, Address: server.Address(), DataCentre: "dc", Slots: 200})
+}
+
+// longUpload doesn't fit into the socket buffers.
+var longUpload = strings.Repeat("x", 6<<20)
+
+// An instance answers a long upload with a 200 without a length, sends a part of the body
+// and resets the connection while the upload is still being written. Guards against a part
+// that reaches the client as a complete answer, and against a retry that isn't allowed.
+func TestPartOfAnEarlyAnswerIsNoAnswer(t *testing.T) {
+	early := rawreply.ResetEarly(func(r *http.Request) string { return head(r.Header.Get("X-Request-Id"), "\r\n") + "part" })
+	t.Run("not repeatable", func(t *testing.T) {
+		g := NewWithT(t)
+		s := newFixture(t)
+		s.table.Load().Limits.MaxBodyBytes = len(longUpload)
+		s.rawServer("w1", "order", early)
+		for range 10 {
+			a := s.sendBody(t.Context(), "/order/1", longUpload)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Equal(http.StatusBadGateway), "body %q", a.body)
+		}
+	})
+	t.Run("repeatable", func(t *testing.T) {
+		g := NewWithT(t)
+		s := newFixture(t)
+		s.table.Load().Limits.MaxBodyBytes = len(longUpload)
+		s.rawServer("w1", "lookup", early)
+		s.worker("w2", "lookup", worker.Behaviour{})
+		for range 10 {
+			a := s.sendBody(t.Context(), "/lookup/1", longUpload)
+			g.Expect(a.status).To(Equal(http.StatusOK))
+			g.Expect(a.body).NotTo(Equal("part"))
+		}
+	})
+}
+
+// Guards against failing an early answer without a length whose connection ends in order.
+func TestWholeEarlyAnswerIsForwarded(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(t)
+	s.table.Load().Limits.MaxBodyBytes = len(longUpload)
+	s.rawServer("w1", "order", func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, head(r.Header.Get("X-Request-Id"), "\r\n")+"whole")
+		_ = c.CloseWrite()
+		time.Sleep(50 * time.Millisecond)
+	})
+	for range 10 {
+		a := s.sendBody(t.Context(), "/order/1", longUpload)
+		g.Expect(a.err).NotTo(HaveOccurred())
+		g.Expect(a.status).To(Equal(http.StatusOK))
+		g.Expect(a.body).To(Equal("whole"))
+	}
+}
