Refuse replies whose status line is malformed, such as status 000

Callers saw: an upstream in trouble answers with status 000. The application clients, the engine client, rudderctl and the client library took it for a 200: `rudderd run` passed the body on as a success, rudderctl printed it and reported a change as stored. The platform's store client took 000 for a successful end of a lease and for a write that was not executed. The relay of `rudderd edge` skipped 000 to 099 as interim replies and took what followed for the answer; it forwarded 600 to 999, another HTTP version and a reason with control bytes.

Cause: each reader trusted its parser. hertz stores a status of 0 as "unset", which it reads as 200, and checks neither range nor version; net/http accepts any three digits, and signs.

Change: replyconn.HeadScanner checks the bytes of a head as they arrive, with the status line of RFC 9112 and the statuses 100 to 599 of RFC 9110. All readers use it: the exchanges of the relay, the connections of hertz clients and those of the platform's clients. It takes over the limits of a head, of interim replies, and the refusal of 101 from the relay's reader. A malformed head is an error after which the request may have run, so it is retried only where that is allowed, and is never reported as not run, even if the head says so.

--- a/internal/apiclient/brokenreply_test.go
+++ b/internal/apiclient/brokenreply_test.go
@@ -31,3 +31,46 @@
 		}
 	}
 }
+
+// Guards against taking a reply with a malformed head for a response or a stream.
+func TestBrokenHeadIsNoResponse(t *testing.T) {
+	for name, head := range rawreply.Broken {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			stream := head.Text("Content-Type: text/event-stream\r\n", "id: 1\ndata: x\n\ndata: [DONE]\n\n")
+			server, err := rawreply.Start(rawreply.Whole(func(*http.Request) string { return stream }))
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(server.Close)
+			client, err := apiclient.New("key", true)
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(client.Close)
+			request := apiclient.Request{Method: http.MethodPost, Path: "/", Timeout: time.Second}
+			response, err := client.Do(t.Context(), server.Address(), request)
+			g.Expect(err).To(HaveOccurred(), "%+v", response)
+			_, err = client.Stream(t.Context(), []string{server.Address()}, request, func(apiclient.Event) error {
+				t.Error("an event of a broken reply")
+				return nil
+			})
+			g.Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
+// Guards against refusing a head that is unusual but sound.
+func TestUnusualHeadIsAResponse(t *testing.T) {
+	for name, head := range rawreply.Sound {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server, err := rawreply.Start(rawreply.Whole(func(*http.Request) string { return head.Text("", "body") }))
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(server.Close)
+			client, err := apiclient.New("key", true)
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(client.Close)
+			response, err := client.Do(t.Context(), server.Address(), apiclient.Request{Method: http.MethodPost, Path: "/", Timeout: time.Second})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response.Status).To(Equal(http.StatusOK))
+			g.Expect(string(response.Body)).To(Equal("body"))
+		})
+	}
+}
--- a/internal/app/brokenreply_test.go
+++ b/internal/app/brokenreply_test.go
@@ -41,3 +41,43 @@
 		}
 	}
 }
+
+// call makes a call to a service that answers with a text.
+func call(t *testing.T, text string) (app.Reply, app.Outcome, error) {
+	t.Helper()
+	server, err := rawreply.Start(rawreply.Whole(func(*http.Request) string { return text }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	return newClient(t).Call(t.Context(), app.Call{
+		Address: server.Address(), AttemptID: "a", Method: http.MethodPost, Path: "/", Timeout: time.Second,
+	})
+}
+
+// Guards against passing on a reply with a malformed head, and against taking one that says
+// that the call was refused for a refusal.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, head := range rawreply.Broken {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			reply, outcome, err := call(t, head.Text(upstreamhttp.HeaderRefused+": busy\r\n", "body"))
+			g.Expect(outcome).To(Equal(app.Lost), "%+v", reply)
+			g.Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
+// Guards against refusing a head that is unusual but sound.
+func TestUnusualHeadIsAnAnswer(t *testing.T) {
+	for name, head := range rawreply.Sound {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			reply, outcome, err := call(t, head.Text("", "body"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(outcome).To(Equal(app.Answered))
+			g.Expect(reply.Status).To(Equal(http.StatusOK))
+			g.Expect(string(reply.Body)).To(Equal("body"))
+		})
+	}
+}
--- a/internal/exchange/bounds_test.go
+++ b/internal/exchange/bounds_test.go
@@ -70,7 +70,7 @@
 		status, body, err := exchange.ReadForTest(client, http.MethodPost, func(h http.Header, _ string, _ bool) bool {
 			return h.Get("X-Request-Id") == "r" || closeAfter
 		})
-		if err == nil && (status < 200 || status > 999 || len(body) > len(data)) {
+		if err == nil && (status < 200 || status > 599 || len(body) > len(data)) {
 			t.Errorf("status %d, %d bytes of body", status, len(body))
 		}
 	})
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
@@ -27,6 +28,10 @@
 	// keepAliveIdle and keepAliveCount detect an unresponsive peer within about 3 s.
 	keepAliveIdle  = time.Second
 	keepAliveCount = 2
+	// maxHeadBytes and maxHeadLines limit the head of a reply. An upstream that sends
+	// header lines without end would otherwise exhaust the memory.
+	maxHeadBytes = 16 << 10
+	maxHeadLines = 200
 )
 
 // ErrNotSent is returned when no byte of the request was sent.
@@ -39,8 +44,7 @@
 // conn is a connection to one instance.
 type conn struct {
 	*replyconn.Conn
-	limiter     *headLimiter
-	reader      *bufio.Reader // reads from limiter
+	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration // announced by the upstream; 0 if unknown
 	reused      bool          // it has carried an earlier exchange
@@ -77,9 +81,25 @@
 }
 
 func newConn(c net.Conn) *conn {
-	wrapped := replyconn.New(c)
-	limiter := &headLimiter{Conn: wrapped}
-	return &conn{Conn: wrapped, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	wrapped := replyconn.New(c, replyconn.Limits{Bytes: maxHeadBytes, Lines: maxHeadLines})
+	return &conn{Conn: wrapped, reader: bufio.NewReaderSize(wrapped, readBufferBytes)}
+}
+
+// readFinal reads the head of the next reply that is not an interim one.
+func (c *conn) readFinal(method string) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	if err := c.ExpectHead(buffered); err != nil {
+		return nil, errors.Wrap(err, "read reply")
+	}
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Wrap(err, "read reply")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
 }
 
 // openWithoutData reports whether an idle connection is open and has no unread
--- a/internal/exchange/embedded.go
+++ b/internal/exchange/embedded.go
@@ -9,6 +9,8 @@
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
 const (
@@ -192,7 +194,7 @@
 	for first := true; ; first = false {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
-			if first && !statusLineStart(data) {
+			if first && !replyconn.StatusLineStart(data) {
 				return nil, true
 			}
 			return head, len(data) > maxHeadBytes
@@ -203,7 +205,7 @@
 		line := data[:end-1]
 		data = data[end+1:]
 		if first {
-			if len(line) < statusLineLen || !statusLineStart(line) {
+			if len(line) < statusLineLen || !replyconn.StatusLineStart(line) {
 				return nil, true
 			}
 			continue
@@ -219,18 +221,6 @@
 	}
 }
 
-// statusLineStart reports whether data may be the start of a status line.
-func statusLineStart(data []byte) bool {
-	const pattern = "HTTP/1.d ddd"
-	for i := range min(len(data), len(pattern)) {
-		isDigit := data[i] >= '0' && data[i] <= '9'
-		if pattern[i] == 'd' && !isDigit || pattern[i] != 'd' && data[i] != pattern[i] {
-			return false
-		}
-	}
-	return len(data) <= statusLineLen+maxHeadBytes
-}
-
 // remember adds the ID of a request that the connection has carried.
 func (c *conn) remember(id string) {
 	if id == "" {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,9 +24,6 @@
 // maxSkippedBytes is the maximum size of the bodies of all skipped replies.
 const maxSkippedBytes = 1 << 20
 
-// maxInterimReplies is the maximum number of interim (1xx) replies to a request.
-const maxInterimReplies = 8
-
 // Peer identifies the upstream instance of an exchange.
 type Peer struct {
 	ID      string
@@ -152,23 +149,14 @@
 // readReply reads the head of the reply that belongs to the request. It skips
 // interim (1xx) replies and late replies to earlier requests on the connection.
 func readReply(c *conn, r *Request) (*http.Response, error) {
-	skipped, interim := 0, 0
+	skipped := 0
 	skippable := int64(maxSkippedBytes)
 	for {
-		c.limiter.expectHead()
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.limiter.headRead()
-		switch {
-		case err != nil:
-			return nil, errors.Wrap(err, "read reply")
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("reply switches to a protocol that was not requested")
-		case response.StatusCode < http.StatusOK:
-			if interim++; interim > maxInterimReplies {
-				return nil, errors.Errorf("more than %d interim replies", maxInterimReplies)
-			}
-			continue
-		case r.matches(response.Header, c):
+		response, err := c.readFinal(r.Method)
+		if err != nil {
+			return nil, err
+		}
+		if r.matches(response.Header, c) {
 			return response, nil
 		}
 		skipped++
--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -1,16 +1,26 @@
 // Package hertzconn provides a dialer and connections for hertz clients. The
-// dialer's errors distinguish failed dials from failed writes. The read timeout of
+// dialer's errors distinguish failed dials from failed writes. The connections
+// check the heads of replies, because hertz takes malformed ones. The read timeout of
 // a connection applies to each read: the standard connection of hertz converts
 // the timeout to one deadline, which ends a streamed reply whose total time is
 // longer.
 package hertzconn
 
 import (
+	"io"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
+// maxHeadBytes limits the head of a reply, so that header lines without end don't exhaust
+// the memory.
+const maxHeadBytes = 1 << 20
+
 // renewalsPerTimeout is the maximum number of times that reads renew the deadline
 // within one timeout. It bounds the number of system calls for a stream with many
 // small reads. In return, a read may time out early by up to 1/20 of the timeout.
@@ -24,6 +34,10 @@
 	network.Conn
 	timeout time.Duration // 0 means none
 	renewed time.Time     // when the read deadline was last set
+
+	scanner *replyconn.HeadScanner // nil if no head is expected
+	started bool                   // a byte of the reply was read
+	head    []byte                 // checked and not read by hertz
 }
 
 // normaliser is network.ErrorNormalization, which hertz looks for on its
@@ -53,32 +67,107 @@
 	}
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	c.renew()
-	return c.Conn.Read(p)
+// Flush implements network.Writer. hertz calls it at the end of each request.
+func (c *conn) Flush() error {
+	c.scanner, c.started, c.head = replyconn.NewHeadScanner(replyconn.Limits{Bytes: maxHeadBytes}), false, nil
+	return c.Conn.Flush()
 }
 
-// Peek implements network.Reader.
+// readHead reads and checks the head of the reply, if one is expected.
+func (c *conn) readHead() error {
+	for c.scanner != nil {
+		c.renew()
+		if _, err := c.Conn.Peek(1); err != nil {
+			// hertz sends a request again after io.EOF on a pooled connection.
+			if c.started && errors.Is(err, io.EOF) {
+				return io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		c.started = true
+		data, err := c.Conn.Peek(c.Conn.Len())
+		if err != nil {
+			return err
+		}
+		n, ended, err := c.scanner.Scan(data)
+		if err != nil {
+			return err
+		}
+		c.head = append(c.head, data[:n]...)
+		if err := c.Conn.Skip(n); err != nil {
+			return err
+		}
+		if ended && !c.scanner.Interim() {
+			c.scanner = nil
+		}
+	}
+	return nil
+}
+
+// Peek implements network.Reader. It returns no bytes beyond the head until hertz has read
+// the head.
 func (c *conn) Peek(n int) ([]byte, error) {
-	c.renew()
-	return c.Conn.Peek(n)
+	if err := c.readHead(); err != nil {
+		return nil, err
+	}
+	switch {
+	case len(c.head) == 0:
+		c.renew()
+		return c.Conn.Peek(n)
+	case n > len(c.head):
+		return c.head, io.ErrShortBuffer
+	}
+	return c.head[:n], nil
+}
+
+// Len implements network.Reader.
+func (c *conn) Len() int {
+	if len(c.head) > 0 {
+		return len(c.head)
+	}
+	return c.Conn.Len()
 }
 
 // Skip implements network.Reader.
 func (c *conn) Skip(n int) error {
+	if len(c.head) > 0 && n <= len(c.head) {
+		c.head = c.head[n:]
+		return nil
+	}
 	c.renew()
 	return c.Conn.Skip(n)
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if err := c.readHead(); err != nil {
+		return 0, err
+	}
+	if len(c.head) > 0 {
+		n := copy(p, c.head)
+		c.head = c.head[n:]
+		return n, nil
+	}
+	c.renew()
+	return c.Conn.Read(p)
+}
+
 // ReadByte implements network.Reader.
 func (c *conn) ReadByte() (byte, error) {
-	c.renew()
-	return c.Conn.ReadByte()
+	data, err := c.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	b := data[0]
+	return b, c.Skip(1)
 }
 
 // ReadBinary implements network.Reader.
 func (c *conn) ReadBinary(n int) ([]byte, error) {
-	c.renew()
-	return c.Conn.ReadBinary(n)
+	data, err := c.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	data = slices.Clone(data)
+	return data, c.Skip(n)
 }
--- a/internal/relay/brokenreply_test.go
+++ b/internal/relay/brokenreply_test.go
@@ -76,3 +76,38 @@
 		g.Expect(a.body).To(Equal("whole"))
 	}
 }
+
+// An instance in trouble sends answers with a malformed head, which may say that the
+// request did not run. Guards against one that reaches the client, and against a retry or a
+// promise that isn't allowed.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, broken := range rawreply.Broken {
+		for kind, fields := range map[string]string{"success": "", "refusal": "X-Not-Executed: 1\r\n"} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				g := NewWithT(t)
+				s := newFixture(t)
+				serve := rawreply.Whole(func(r *http.Request) string {
+					return broken.Text("X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\nX-Response-Seal: s\r\n"+fields, "broken")
+				})
+				for _, service := range []string{"order", "lookup", "query"} {
+					s.rawServer("broken-"+service, service, serve)
+				}
+				a := s.send(t.Context(), "/order/1", nil)
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.status).To(Equal(http.StatusBadGateway), "body %q", a.body)
+				g.Expect(a.header).NotTo(HaveKey("X-Response-Seal"))
+
+				s.worker("w-lookup", "lookup", worker.Behaviour{})
+				s.worker("w-query", "query", worker.Behaviour{})
+				for range 4 {
+					a = s.send(t.Context(), "/lookup/1", nil)
+					g.Expect(a.status).To(Equal(http.StatusOK))
+					g.Expect(a.body).NotTo(ContainSubstring("broken"))
+					a = s.send(t.Context(), "/query/1", nil)
+					g.Expect(a.err).NotTo(HaveOccurred())
+					g.Expect(a.body).To(Equal(events(0, 6)))
+				}
+			})
+		}
+	}
+}
--- a/pkg/client/brokenreply_test.go
+++ b/pkg/client/brokenreply_test.go
@@ -30,3 +30,55 @@
 		}
 	}
 }
+
+// startClient starts a daemon that answers with a text, and returns a client and a request.
+func startClient(t *testing.T, text string) (c *Client, address string) {
+	t.Helper()
+	server, err := rawreply.Start(rawreply.Whole(func(*http.Request) string { return text }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	c, err = New(Options{Addresses: []string{server.Address()}, Timeout: time.Second, IdleTimeout: 200 * time.Millisecond, MaxRounds: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c, server.Address()
+}
+
+// Guards against taking a reply with a malformed head for a response, a refusal or a
+// stream.
+func TestBrokenHeadIsNoResponse(t *testing.T) {
+	const problem = `{"code":1201,"execution":"not run","detail":"x"}`
+	for name, head := range rawreply.Broken {
+		t.Run(name, func(t *testing.T) {
+			c, address := startClient(t, head.Text("Content-Type: "+problemType+"\r\n", problem))
+			for _, key := range []string{"", "token.1"} {
+				response, err := c.transport.call(t.Context(), address, &Request{Method: http.MethodPost, Path: "/", IdempotencyKey: key})
+				if err == nil || !mayHaveRun(err) {
+					t.Errorf("response %+v, error %v", response, err)
+				}
+			}
+			c, address = startClient(t, head.Text("Content-Type: "+contentTypeSSE+"\r\n", "id: 1\ndata: x\n\n"))
+			s := &Stream{client: c, ctx: t.Context(), request: Request{Method: http.MethodPost, Path: "/"}}
+			if err := s.open(address, &s.request); err == nil {
+				s.disconnect()
+				t.Error("a stream was opened")
+			}
+		})
+	}
+}
+
+// Guards against refusing a head that is unusual but sound.
+func TestUnusualHeadIsAResponse(t *testing.T) {
+	for name, head := range rawreply.Sound {
+		t.Run(name, func(t *testing.T) {
+			c, address := startClient(t, head.Text("", "body"))
+			response, err := c.transport.call(t.Context(), address, &Request{Method: http.MethodPost, Path: "/"})
+			if err != nil || response.Status != http.StatusOK || string(response.Body) != "body" {
+				t.Errorf("response %+v, error %v", response, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/test/standin/rawreply/broken.go
@@ -0,0 +1,72 @@
+package rawreply
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Head is the form of the head of a reply.
+type Head struct {
+	StatusLine string // "HTTP/1.1 200 OK" if empty
+	// Lines are added before the fields. Each ends with a line break.
+	Lines string
+	// WithoutLength omits the length of the body.
+	WithoutLength bool
+}
+
+// Text returns a reply with more fields, each of which ends with a line break, and a body.
+func (h Head) Text(fields, body string) string {
+	var b strings.Builder
+	b.WriteString(h.StatusLine)
+	if h.StatusLine == "" {
+		b.WriteString("HTTP/1.1 200 OK")
+	}
+	b.WriteString("\r\n" + h.Lines + fields)
+	if !h.WithoutLength {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	}
+	b.WriteString("\r\n" + body)
+	return b.String()
+}
+
+// Broken are heads of replies that no reader may take for an answer, by what is wrong.
+var Broken = map[string]Head{
+	"status 000":               {StatusLine: "HTTP/1.1 000 Trouble"},
+	"status 000 alone":         {StatusLine: "HTTP/1.1 000"},
+	"status below 100":         {StatusLine: "HTTP/1.1 099 Trouble"},
+	"status above 599":         {StatusLine: "HTTP/1.1 600 Trouble"},
+	"status 999":               {StatusLine: "HTTP/1.1 999 Trouble"},
+	"status of two digits":     {StatusLine: "HTTP/1.1 20 OK"},
+	"status of four digits":    {StatusLine: "HTTP/1.1 2000 OK"},
+	"status with a sign":       {StatusLine: "HTTP/1.1 +20 OK"},
+	"status with a letter":     {StatusLine: "HTTP/1.1 2o0 OK"},
+	"no status":                {StatusLine: "HTTP/1.1  OK"},
+	"two blanks before status": {StatusLine: "HTTP/1.1  200 OK"},
+	"control in the reason":    {StatusLine: "HTTP/1.1 200 O\x01K"},
+	"zero byte in the reason":  {StatusLine: "HTTP/1.1 200 \x00"},
+	"another version":          {StatusLine: "HTTP/2.0 200 OK"},
+	"no version":               {StatusLine: "HTTP/ 200 OK"},
+	"another protocol":         {StatusLine: "ICY/1.1 200 OK"},
+	"empty line before":        {StatusLine: "\r\nHTTP/1.1 200 OK"},
+	"other protocol asked for": {StatusLine: "HTTP/1.1 101 Switching Protocols", Lines: "Upgrade: x\r\n"},
+}
+
+// Sound are unusual heads that every reader takes, by what is unusual.
+var Sound = map[string]Head{
+	"no reason":                {StatusLine: "HTTP/1.1 200"},
+	"empty reason":             {StatusLine: "HTTP/1.1 200 "},
+	"text in the reason":       {StatusLine: "HTTP/1.1 200 Tr\xc3\xa4ger\tok"},
+	"version 1.0":              {StatusLine: "HTTP/1.0 200 OK"},
+	"all characters of a name": {Lines: "!#$%&'*+-.^_`|~09azAZ: 1\r\n"},
+	"name of one character":    {Lines: "X: 1\r\n"},
+	"empty value":              {Lines: "X-Empty:\r\n"},
+	"blanks around a value":    {Lines: "X-Blank: \t a b \t \r\n"},
+	"no blank before a value":  {Lines: "X-Close:1\r\n"},
+	"colons in a value":        {Lines: "X-Colon: a:b: c\r\n"},
+	"bytes beyond ASCII":       {Lines: "X-Text: Tr\xc3\xa4ger \xff\r\n"},
+	"line feeds":               {StatusLine: "HTTP/1.1 200 OK\nX-First: 1\nX-Second: 2"},
+	"long head":                {Lines: strings.Repeat("X-Long: "+strings.Repeat("v", 900)+"\r\n", 15)},
+	"many fields":              {Lines: strings.Repeat("X-More: 1\r\n", 180)},
+	"interim reply before":     {StatusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"},
+	"end of the connection":    {Lines: "Connection: close\r\n", WithoutLength: true},
+}
