Refuse replies with a malformed field in their head

Callers saw: an upstream in trouble sends a head in which the name of a field holds a blank or a control byte. Clients got it as an answer. `rudderd run` passed the line on, with control bytes in names and values; if the name was that of the length or the encoding ("Content-Length : 1"), the body was what came until the end of the connection. `rudderd edge` did the same for blanks.

Cause: net/http accepts blanks in names for the sake of old servers, and then doesn't recognise the name. hertz accepts any byte before the colon and in a value.

Evidence, on the code before: of 20 malformed fields, 18 each were taken by the application client, the engine client, calls to the cloud and health checks, rudderctl and the client library; 5 by the relay and by the platform's clients (a blank in a name, before the colon, in a folded field, in the names of the length and of the encoding). Unusual names and values that are sound pass, before and after.

--- a/internal/replyconn/head.go
+++ b/internal/replyconn/head.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -93,13 +94,13 @@
 	if s.lines == 1 {
 		return s.checkStatusLine(line)
 	}
-	return nil
+	return s.checkField(line)
 }
 
 // checkStatusLine checks the first line of a head.
 func (s *HeadScanner) checkStatusLine(line []byte) error {
 	const length = len(statusLinePattern)
-	if len(line) < length || !StatusLineStart(line) || len(line) > length && line[length] != ' ' || !isText(line) {
+	if len(line) < length || !StatusLineStart(line) || len(line) > length && line[length] != ' ' || !httpguts.ValidHeaderFieldValue(string(line)) {
 		return errors.Wrapf(ErrMalformed, "status line %.60q", line)
 	}
 	s.status, _ = strconv.Atoi(string(line[length-3 : length]))
@@ -127,13 +128,15 @@
 	return true
 }
 
-// isText reports whether data has only visible characters, blanks, tabs and bytes beyond
-// ASCII, as a reason and the value of a field have.
-func isText(data []byte) bool {
-	for _, b := range data {
-		if b < ' ' && b != '\t' || b == 0x7f {
-			return false
-		}
+// checkField checks a line with a field, or a folded line, which continues the field before.
+func (s *HeadScanner) checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	isName := found && httpguts.ValidHeaderFieldName(string(name))
+	if s.lines > 2 && (line[0] == ' ' || line[0] == '\t') {
+		isName, value = true, line
 	}
-	return true
+	if !isName || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return errors.Wrapf(ErrMalformed, "field %.60q", line)
+	}
+	return nil
 }
--- a/test/standin/rawreply/broken.go
+++ b/test/standin/rawreply/broken.go
@@ -49,6 +49,27 @@
 	"another protocol":         {StatusLine: "ICY/1.1 200 OK"},
 	"empty line before":        {StatusLine: "\r\nHTTP/1.1 200 OK"},
 	"other protocol asked for": {StatusLine: "HTTP/1.1 101 Switching Protocols", Lines: "Upgrade: x\r\n"},
+
+	"blank in a name":               {Lines: "X Trouble: 1\r\n"},
+	"blank before the colon":        {Lines: "X-Trouble : 1\r\n"},
+	"tab before the colon":          {Lines: "X-Trouble\t: 1\r\n"},
+	"length with a blank":           {Lines: "Content-Length : 1\r\n", WithoutLength: true},
+	"encoding with a blank":         {Lines: "Transfer-Encoding : chunked\r\n", WithoutLength: true},
+	"control in a name":             {Lines: "X-\x01Trouble: 1\r\n"},
+	"zero byte in a name":           {Lines: "X-Tr\x00uble: 1\r\n"},
+	"delete in a name":              {Lines: "X-Trouble\x7f: 1\r\n"},
+	"carriage return in a name":     {Lines: "X-\rTrouble: 1\r\n"},
+	"separator in a name":           {Lines: "X-(Trouble): 1\r\n"},
+	"byte beyond ASCII in a name":   {Lines: "X-Tr\xc3\xa4ger: 1\r\n"},
+	"empty name":                    {Lines: ": 1\r\n"},
+	"no colon":                      {Lines: "X-Trouble\r\n"},
+	"first line folded":             {Lines: " X-Trouble: 1\r\n"},
+	"blank in the name, folded":     {Lines: "X Trouble: a\r\n b\r\n"},
+	"control in a value":            {Lines: "X-Trouble: \x01\r\n"},
+	"zero byte in a value":          {Lines: "X-Trouble: a\x00b\r\n"},
+	"carriage return in a value":    {Lines: "X-Trouble: a\rX-More: b\r\n"},
+	"control in a folded line":      {Lines: "X-Trouble: a\r\n b\x02\r\n"},
+	"last of several without colon": {Lines: "X-A: 1\r\nX-B: 2\r\nX-Trouble\r\n"},
 }
 
 // Sound are unusual heads that every reader takes, by what is unusual.
