Join folded lines of a head before hertz parses it

Callers saw: an upstream folds a field of its head over two lines. The reply is sound, but callers of `rudderd run`, rudderctl and the client library got a body that is not the upstream's ("dydy" for "body"), a continuation with a colon as a field whose name begins with a blank, or an error.

Cause: hertz rewrites a folded field within the buffer that also holds the start of the body, and takes a continuation with a colon for the next field. Since the head is checked in a buffer of its own the body is right, but the field is still split.

Change: the connections of hertz clients replace the line breaks before folded lines by blanks, as RFC 9112, section 5.2, asks of a reader, before hertz sees the head. The relay and the platform's clients parse with net/http, which joins the lines.

--- a/internal/app/brokenreply_test.go
+++ b/internal/app/brokenreply_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/upstreamhttp"
@@ -78,6 +79,13 @@
 			g.Expect(outcome).To(Equal(app.Answered))
 			g.Expect(reply.Status).To(Equal(http.StatusOK))
 			g.Expect(string(reply.Body)).To(Equal("body"))
+			for _, header := range reply.Headers {
+				g.Expect(httpguts.ValidHeaderFieldName(header.Name)).To(BeTrue(), "%q", header)
+				if header.Name == "X-Folded" {
+					value := strings.Join(strings.Fields(header.Value), " ")
+					g.Expect(value).To(BeElementOf("a", "a b c: d"))
+				}
+			}
 		})
 	}
 }
--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -98,12 +98,27 @@
 			return err
 		}
 		if ended && !c.scanner.Interim() {
+			unfold(c.head)
 			c.scanner = nil
 		}
 	}
 	return nil
 }
 
+// unfold replaces the line breaks before folded lines by blanks, as RFC 9112, section 5.2,
+// asks of a reader. hertz takes a folded line with a colon for a field.
+func unfold(head []byte) {
+	for i := range len(head) - 1 {
+		if head[i] != '\n' || head[i+1] != ' ' && head[i+1] != '\t' {
+			continue
+		}
+		head[i] = ' '
+		if head[i-1] == '\r' {
+			head[i-1] = ' '
+		}
+	}
+}
+
 // Peek implements network.Reader. It returns no bytes beyond the head until hertz has read
 // the head.
 func (c *conn) Peek(n int) ([]byte, error) {
--- a/test/standin/rawreply/broken.go
+++ b/test/standin/rawreply/broken.go
@@ -88,6 +88,9 @@
 	"line feeds":               {StatusLine: "HTTP/1.1 200 OK\nX-First: 1\nX-Second: 2"},
 	"long head":                {Lines: strings.Repeat("X-Long: "+strings.Repeat("v", 900)+"\r\n", 15)},
 	"many fields":              {Lines: strings.Repeat("X-More: 1\r\n", 180)},
+	"folded line":              {Lines: "X-Folded: a\r\n b\r\n\tc: d\r\n"},
+	"folded line of blanks":    {Lines: "X-Folded: a\r\n  \r\nX-More: b\r\n"},
+	"line feeds, folded":       {Lines: "X-Folded: a\n b\n c: d\n"},
 	"interim reply before":     {StatusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"},
 	"end of the connection":    {Lines: "Connection: close\r\n", WithoutLength: true},
 }
