Don't take interim replies for answers in the clients over hertz

Callers saw: an upstream sends an interim reply, such as 102 or 103, before its answer. Callers of `rudderd run`, rudderctl and the client library got the interim reply as the answer, with its status and an empty body.

Cause: hertz skips one reply with status 100, and takes any other for final.

Change: the connections of hertz clients drop the heads of interim replies, eight of them at most, as the relay does.

--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -73,7 +73,8 @@
 	return c.Conn.Flush()
 }
 
-// readHead reads and checks the head of the reply, if one is expected.
+// readHead reads and checks the heads of the replies to a request, if they are expected. It
+// leaves that of the final reply in c.head.
 func (c *conn) readHead() error {
 	for c.scanner != nil {
 		c.renew()
@@ -97,7 +98,10 @@
 		if err := c.Conn.Skip(n); err != nil {
 			return err
 		}
-		if ended && !c.scanner.Interim() {
+		switch {
+		case ended && c.scanner.Interim():
+			c.head = c.head[:0] // hertz takes most interim replies for final ones
+		case ended:
 			unfold(c.head)
 			c.scanner = nil
 		}
--- a/test/standin/rawreply/broken.go
+++ b/test/standin/rawreply/broken.go
@@ -50,6 +50,9 @@
 	"empty line before":        {StatusLine: "\r\nHTTP/1.1 200 OK"},
 	"other protocol asked for": {StatusLine: "HTTP/1.1 101 Switching Protocols", Lines: "Upgrade: x\r\n"},
 
+	"broken after an interim one": {StatusLine: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 Trouble"},
+	"interim replies alone":       {StatusLine: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + "HTTP/1.1 200 OK"},
+
 	"blank in a name":               {Lines: "X Trouble: 1\r\n"},
 	"blank before the colon":        {Lines: "X-Trouble : 1\r\n"},
 	"tab before the colon":          {Lines: "X-Trouble\t: 1\r\n"},
@@ -92,5 +95,8 @@
 	"folded line of blanks":    {Lines: "X-Folded: a\r\n  \r\nX-More: b\r\n"},
 	"line feeds, folded":       {Lines: "X-Folded: a\n b\n c: d\n"},
 	"interim reply before":     {StatusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"},
+	"processing":               {StatusLine: "HTTP/1.1 102 Processing\r\nX-Step: 1\r\n\r\nHTTP/1.1 200 OK"},
+	"several interim replies":  {StatusLine: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 4) + "HTTP/1.1 200 OK"},
+	"interim, then no length":  {StatusLine: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK", WithoutLength: true},
 	"end of the connection":    {Lines: "Connection: close\r\n", WithoutLength: true},
 }
