Refuse replies whose head contradicts itself about the end of the body

Callers saw: an upstream sends two different lengths. The clients over hertz took the last one, so that callers of `rudderd run`, rudderctl and the client library got a body that need not be the upstream's. With an encoding other than chunked, the client library and the engine client took the reply until they read its body as chunks.

Cause: hertz keeps the last length, and takes any encoding but identity for chunked. net/http refuses both.

Change: HeadScanner checks the fields that tell where a body ends: each length is a number, all are equal, and the encoding is chunked or identity.

A length that is repeated passes.

--- a/internal/replyconn/head.go
+++ b/internal/replyconn/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -38,6 +39,7 @@
 	lines   int    // whole lines of the current head
 	bytes   int    // of the current head
 	status  int    // of the current head, 0 before its first line
+	length  string // value of its Content-Length, "" if there is none
 	interim int    // interim replies, the current one included
 	ended   bool   // the last byte was the end of a head
 }
@@ -138,5 +140,22 @@
 	if !isName || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return errors.Wrapf(ErrMalformed, "field %.60q", line)
 	}
+	return s.checkFraming(string(name), string(bytes.TrimSpace(value)))
+}
+
+// checkFraming checks a field that tells where the body ends. Readers that differ in how
+// they take a contradiction would differ in the body.
+func (s *HeadScanner) checkFraming(name, value string) error {
+	switch http.CanonicalHeaderKey(name) {
+	case "Content-Length":
+		if _, err := strconv.ParseUint(value, 10, 63); err != nil || s.length != "" && s.length != value {
+			return errors.Wrapf(ErrMalformed, "length %.30q after %.30q", value, s.length)
+		}
+		s.length = value
+	case "Transfer-Encoding":
+		if !strings.EqualFold(value, "chunked") && !strings.EqualFold(value, "identity") {
+			return errors.Wrapf(ErrMalformed, "transfer encoding %.30q", value)
+		}
+	}
 	return nil
 }
--- a/internal/replyconn/head_test.go
+++ b/internal/replyconn/head_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+func TestSameLengthTwiceIsSound(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\ncontent-length:4 \r\n\r\n",
+		"HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+	} {
+		g.Expect(scan(text, 1)).To(Equal(len(text)))
+	}
+}
+
 // The result does not depend on the parts in which a head arrives.
 func FuzzHeadScanner(f *testing.F) {
 	for _, heads := range []map[string]rawreply.Head{rawreply.Sound, rawreply.Broken} {
--- a/test/standin/rawreply/broken.go
+++ b/test/standin/rawreply/broken.go
@@ -73,6 +73,16 @@
 	"carriage return in a value":    {Lines: "X-Trouble: a\rX-More: b\r\n"},
 	"control in a folded line":      {Lines: "X-Trouble: a\r\n b\x02\r\n"},
 	"last of several without colon": {Lines: "X-A: 1\r\nX-B: 2\r\nX-Trouble\r\n"},
+
+	"letter in the length":     {Lines: "Content-Length: 1x0\r\n", WithoutLength: true},
+	"length with a sign":       {Lines: "Content-Length: +4\r\n", WithoutLength: true},
+	"negative length":          {Lines: "Content-Length: -4\r\n", WithoutLength: true},
+	"empty length":             {Lines: "Content-Length:\r\n", WithoutLength: true},
+	"two lengths":              {Lines: "Content-Length: 3\r\nContent-Length: 2\r\n", WithoutLength: true},
+	"two lengths in one field": {Lines: "Content-Length: 3, 2\r\n", WithoutLength: true},
+	"length beyond an integer": {Lines: "Content-Length: 99999999999999999999\r\n", WithoutLength: true},
+	"unknown encoding":         {Lines: "Transfer-Encoding: gzip\r\n", WithoutLength: true},
+	"several encodings":        {Lines: "Transfer-Encoding: gzip, chunked\r\n", WithoutLength: true},
 }
 
 // Sound are unusual heads that every reader takes, by what is unusual.
