--- a/internal/app/brokenreply_test.go
+++ b/internal/app/brokenreply_test.go
@@ -89,3 +89,21 @@
 		})
 	}
 }
+
+// Guards against trailers that reach the caller, malformed or not, and against one that
+// changes the body.
+func TestTrailersAreNotForwarded(t *testing.T) {
+	for _, trailer := range []string{"X-Sound: 1", "X Trouble: 1", "X-Trouble : 1", "X-\x01: 1", "X-Trouble: \x00", "Content-Length: 1", "X-Trouble"} {
+		t.Run(trailer, func(t *testing.T) {
+			g := NewWithT(t)
+			reply, outcome, _ := call(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n\r\n")
+			g.Expect(outcome).To(BeElementOf(app.Answered, app.Lost))
+			if outcome == app.Answered || trailer == "X-Sound: 1" {
+				g.Expect(string(reply.Body)).To(Equal("body"))
+				for _, header := range reply.Headers {
+					g.Expect(strings.ToLower(header.Name)).NotTo(Or(HavePrefix("x"), Equal("content-length")))
+				}
+			}
+		})
+	}
+}
--- a/internal/relay/brokenreply_test.go
+++ b/internal/relay/brokenreply_test.go
@@ -111,3 +111,46 @@
 		}
 	}
 }
+
+// A stream breaks off, and an instance at which it may continue sends a malformed head.
+// Guards against events that are lost, repeated or followed by bytes that are no event.
+func TestStreamContinuesBesideBrokenHeads(t *testing.T) {
+	for name, broken := range rawreply.Broken {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFixture(t)
+			s.rawServer("broken", "query", rawreply.Whole(func(r *http.Request) string {
+				fields := "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+				return broken.Text(fields, events(2, 6))
+			}))
+			s.worker("cut", "query", worker.Behaviour{CutAfter: 2})
+			s.worker("sound", "query", worker.Behaviour{})
+			for range 4 {
+				a := s.send(t.Context(), "/query/1", nil)
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.body).To(Equal(events(0, 6)))
+			}
+		})
+	}
+}
+
+// Guards against trailers that reach the client, malformed or not, and against one that
+// changes the body.
+func TestTrailersAreNotForwarded(t *testing.T) {
+	for _, trailer := range []string{"X-Sound: 1", "X Trouble: 1", "X-Trouble : 1", "X-\x01: 1", "X-Trouble: \x00", "Content-Length: 1", "X-Trouble"} {
+		t.Run(trailer, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFixture(t)
+			s.rawServer("w1", "order", rawreply.Whole(func(r *http.Request) string {
+				return head(r.Header.Get("X-Request-Id"), "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n\r\n")
+			}))
+			a := s.send(t.Context(), "/order/1", nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(BeElementOf(http.StatusOK, http.StatusBadGateway))
+			if a.status == http.StatusOK || trailer == "X-Sound: 1" {
+				g.Expect(a.body).To(Equal("body"))
+				g.Expect(a.header).NotTo(Or(HaveKey("X-Sound"), HaveKey("X Trouble"), HaveKey("X-Trouble"), HaveKey("X-Trouble ")))
+			}
+		})
+	}
+}
