--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -26,8 +26,9 @@
 // small reads. In return, a read may time out early by up to 1/20 of the timeout.
 const renewalsPerTimeout = 20
 
-// Wrap returns a connection whose read timeout works as the documentation of
-// network.Conn says: "SetReadTimeout should work for every Read process".
+// Wrap returns a client's connection whose read timeout works as the documentation of
+// network.Conn says: "SetReadTimeout should work for every Read process". Its reads fail
+// with an error that wraps replyconn.ErrMalformed if the head of a reply is malformed.
 func Wrap(c network.Conn) network.Conn { return &conn{Conn: c} }
 
 type conn struct {
--- a/internal/replyconn/head.go
+++ b/internal/replyconn/head.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -102,7 +101,8 @@
 // checkStatusLine checks the first line of a head.
 func (s *HeadScanner) checkStatusLine(line []byte) error {
 	const length = len(statusLinePattern)
-	if len(line) < length || !StatusLineStart(line) || len(line) > length && line[length] != ' ' || !httpguts.ValidHeaderFieldValue(string(line)) {
+	isStatusLine := len(line) >= length && StatusLineStart(line) && (len(line) == length || line[length] == ' ')
+	if !isStatusLine || !httpguts.ValidHeaderFieldValue(string(line)) {
 		return errors.Wrapf(ErrMalformed, "status line %.60q", line)
 	}
 	s.status, _ = strconv.Atoi(string(line[length-3 : length]))
@@ -140,20 +140,21 @@
 	if !isName || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return errors.Wrapf(ErrMalformed, "field %.60q", line)
 	}
-	return s.checkFraming(string(name), string(bytes.TrimSpace(value)))
+	return s.checkFraming(name, bytes.TrimSpace(value))
 }
 
 // checkFraming checks a field that tells where the body ends. Readers that differ in how
 // they take a contradiction would differ in the body.
-func (s *HeadScanner) checkFraming(name, value string) error {
-	switch http.CanonicalHeaderKey(name) {
-	case "Content-Length":
-		if _, err := strconv.ParseUint(value, 10, 63); err != nil || s.length != "" && s.length != value {
-			return errors.Wrapf(ErrMalformed, "length %.30q after %.30q", value, s.length)
+func (s *HeadScanner) checkFraming(name, value []byte) error {
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		length := string(value)
+		if _, err := strconv.ParseUint(length, 10, 63); err != nil || s.length != "" && s.length != length {
+			return errors.Wrapf(ErrMalformed, "length %.30q after %.30q", length, s.length)
 		}
-		s.length = value
-	case "Transfer-Encoding":
-		if !strings.EqualFold(value, "chunked") && !strings.EqualFold(value, "identity") {
+		s.length = length
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		if !bytes.EqualFold(value, []byte("chunked")) && !bytes.EqualFold(value, []byte("identity")) {
 			return errors.Wrapf(ErrMalformed, "transfer encoding %.30q", value)
 		}
 	}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/platform"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
 )
 
@@ -128,6 +131,18 @@
 	{"copied entry", false, copyEntry, removeCopy},
 }
 
+// brokenFaults are faults of workers whose answers are malformed.
+var brokenFaults = []fault{
+	{"broken heads", false, sendBrokenHeads, restoreWorker},
+}
+
+// sendBrokenHeads makes a random worker send one kind of malformed head.
+func sendBrokenHeads(p *faultInjector) {
+	names := slices.Sorted(maps.Keys(rawreply.Broken))
+	head := rawreply.Broken[names[p.random.IntN(len(names))]]
+	workerFault(worker.Behaviour{BrokenHead: &head})(p)
+}
+
 // oddEntries are values that another writer may leave among the workers' entries.
 var oddEntries = []string{
 	strings.Repeat(`{"a":`, 50_000), `{"service":"reports","addr":"127.0.0.1:70000","zone":"a","configVer":"v1","slots":24,"state":"ready"}`,
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -25,6 +25,7 @@
 	Clients int           `default:"12" help:"Number of clients."`
 	Planned bool          `help:"Only planned operations: stops, leaving workers, revoked keys, configurations."`
 	Trouble bool          `help:"Adds faults of workers in trouble and of other writers: pauses, bytes without end, odd entries."`
+	Broken  bool          `help:"Adds workers that send malformed answers, four times as often as other faults."`
 	Keep    string        `default:"" help:"Folder that keeps the logs of failed seeds."`
 }
 
@@ -70,6 +71,9 @@
 	if o.Trouble {
 		kinds = slices.Concat(faults, troubledFaults, troubledFaults)
 	}
+	if o.Broken {
+		kinds = slices.Concat(kinds, slices.Repeat(brokenFaults, 4*len(faults)))
+	}
 	p.run(o.Length, kinds, func(f fault) bool { return !o.Planned || f.planned })
 	faultsEnded := time.Now()
 	time.Sleep(recoveryTime)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,17 +8,17 @@
 )
 
 // ciSeeds are the seeds that CI runs: two with all faults, one with planned operations
-// only, and one with workers in trouble.
+// only, one with workers in trouble, and one with workers that send malformed answers.
 var ciSeeds = []struct {
-	seed             uint64
-	planned, trouble bool
-}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}, {seed: 2001, trouble: true}}
+	seed                     uint64
+	planned, trouble, broken bool
+}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}, {seed: 2001, trouble: true}, {seed: 3001, broken: true}}
 
 // Guards against violated guarantees when faults hit daemons that run as processes.
 func TestSeededSoak(t *testing.T) {
 	binary, _ := buildPrograms(t)
 	for _, c := range ciSeeds {
-		o := options{Binary: binary, Length: 12 * time.Second, Daemons: 4, Clients: 12, Planned: c.planned, Trouble: c.trouble}
+		o := options{Binary: binary, Length: 12 * time.Second, Daemons: 4, Clients: 12, Planned: c.planned, Trouble: c.trouble, Broken: c.broken}
 		r, err := runSeed(o, c.seed, t.TempDir())
 		if err != nil {
 			t.Fatal(err)
--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -13,21 +13,24 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
 )
 
 // Behaviour changes how a worker responds. The zero value is a healthy worker.
 type Behaviour struct {
-	Refuse     bool          // responds with status 503 and the header X-Not-Executed
-	RetryAfter string        // header of refusals; empty means none
-	Leaving    bool          // says in each response that it is leaving
-	Endless    Endless       // executes the request and sends bytes without end
-	Fail       bool          // executes the request and responds with status 500
-	LoseAnswer bool          // executes the request and closes the connection
-	CutAfter   int           // closes a stream after this number of events; 0 means never
-	CutInEvent bool          // leaves the last event of a cut stream incomplete
-	Delay      time.Duration // before the response begins
-	EventGap   time.Duration // between events
-	CrashOn    string        // part of a prompt on which the worker crashes when it begins to write an answer
+	Refuse     bool           // responds with status 503 and the header X-Not-Executed
+	RetryAfter string         // header of refusals; empty means none
+	Leaving    bool           // says in each response that it is leaving
+	Endless    Endless        // executes the request and sends bytes without end
+	Fail       bool           // executes the request and responds with status 500
+	LoseAnswer bool           // executes the request and closes the connection
+	CutAfter   int            // closes a stream after this number of events; 0 means never
+	CutInEvent bool           // leaves the last event of a cut stream incomplete
+	Delay      time.Duration  // before the response begins
+	EventGap   time.Duration  // between events
+	BrokenHead *rawreply.Head // executes the request and answers with this head; nil means a sound one
+	CrashOn    string         // part of a prompt on which the worker crashes when it begins to write an answer
 }
 
 // Endless is what a worker sends without end instead of a response, until the
@@ -179,6 +182,8 @@
 	switch {
 	case b.Endless != "":
 		sendEndless(rw, r, b.Endless)
+	case b.BrokenHead != nil:
+		sendBroken(rw, r, *b.BrokenHead)
 	case b.LoseAnswer:
 		panic(http.ErrAbortHandler)
 	case b.Fail:
@@ -190,6 +195,17 @@
 	}
 }
 
+// sendBroken answers with a malformed head, which also says that the request was not executed.
+func sendBroken(rw http.ResponseWriter, r *http.Request, head rawreply.Head) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err) // the server supports it
+	}
+	defer func() { _ = conn.Close() }()
+	fields := "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\nX-Response-Seal: s\r\nX-Not-Executed: 1\r\n"
+	_, _ = io.WriteString(conn, head.Text(fields, "broken")) // the client may have disconnected
+}
+
 // sendEndless sends bytes without end, after a response's head if they are part of a body.
 func sendEndless(rw http.ResponseWriter, r *http.Request, bytes Endless) {
 	conn, _, err := http.NewResponseController(rw).Hijack()
