Share the stand-in of raw instances in the tests of the relay

The cases of broken heads in the relay's reader are named, and one with bytes after the head is added.

--- a/internal/exchange/brokenhead_test.go
+++ b/internal/exchange/brokenhead_test.go
@@ -47,11 +47,11 @@
 	before := map[string]string{
 		"alone": "", "after an interim reply": "HTTP/1.1 102 Processing\r\n\r\n", "after a late reply": replyText("r1", "late"),
 	}
-	after := map[string]string{"": "", ", before a sound reply": replyText("r2", "own")}
+	after := map[string]string{"at the end": "", "before other bytes": "body", "before a sound reply": replyText("r2", "own")}
 	for name, head := range rawreply.Broken {
 		for position, earlier := range before {
 			for end, later := range after {
-				t.Run(name+", "+position+end, func(t *testing.T) {
+				t.Run(name+", "+position+", "+end, func(t *testing.T) {
 					g := NewWithT(t)
 					text := earlier + head.Text(ownField, "") + later
 					for _, parts := range [][]string{{text}, strings.SplitAfter(text, "T")} {
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -24,32 +24,12 @@
 // closes the connection.
 func (s *fixture) rawInstance(id, service string, answer func(w io.Writer, requestID string) error) {
 	s.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				// With a part of the request unread, closing would reset the connection.
-				if _, err := io.Copy(io.Discard, r.Body); err != nil {
-					return
-				}
-				_ = answer(c, r.Header.Get("X-Request-Id")) // ends when the daemon closes
-			}()
+	s.rawServer(id, service, func(c *net.TCPConn, r *http.Request) {
+		// With a part of the request unread, closing would reset the connection.
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_ = answer(c, r.Header.Get("X-Request-Id")) // ends when the daemon closes
 		}
-	}()
-	s.set.Put(fleet.Description{ID: id, Service: service, Address: listener.Addr().String(), DataCentre: "dc", Slots: 200})
+	})
 }
 
 func head(requestID, more string) string {
