--- a/internal/app/brokenreply_test.go
+++ b/internal/app/brokenreply_test.go
@@ -107,3 +107,16 @@
 		})
 	}
 }
+
+// Guards against refusing a long head, and against header lines without end.
+func TestLengthOfAHeadIsLimited(t *testing.T) {
+	g := NewWithT(t)
+	line := "X-Long: " + strings.Repeat("v", 1<<10) + "\r\n"
+	reply, outcome, err := call(t, rawreply.Head{Lines: strings.Repeat(line, 900)}.Text("", "body"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(outcome).To(Equal(app.Answered))
+	g.Expect(string(reply.Body)).To(Equal("body"))
+	_, outcome, err = call(t, rawreply.Head{Lines: strings.Repeat(line, 1100)}.Text("", "body"))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(outcome).To(Equal(app.Lost))
+}
