Log delayed removals and count the pending ones

Nothing showed a delayed removal.

Change: the mirror logs "removal delayed" and "delayed removal applied"; the gauge rudder_mirror_pending_removals counts the pending ones.

--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -21,6 +21,7 @@
 	for name, value := range map[string]func() float64{
 		`rudder_mirror_age_seconds{mirror="operator"}`:       age(d.state.operator),
 		`rudder_mirror_age_seconds{mirror="fleet"}`:          age(d.state.fleet),
+		`rudder_mirror_pending_removals`:                     func() float64 { return float64(d.state.fleet.PendingRemovals()) },
 		`rudder_mirror_reads_for_others`:                     func() float64 { return gaugeOf(d.reads()) },
 		`rudder_duty_held{duty="coordinator"}`:               func() float64 { return gaugeOf(d.holder.Valid()) },
 		`rudder_coordination_connected`:                      func() float64 { return gaugeOf(d.agent.Connected()) },
--- a/internal/mirror/removals.go
+++ b/internal/mirror/removals.go
@@ -15,7 +15,7 @@
 	}
 	if m.config.DelayRemoval != nil && m.config.DelayRemoval(key) && m.afterOutage() {
 		if _, pending := m.pendingRemovals[key]; !pending {
-			m.pendingRemovals[key] = pendingRemoval{due: time.Duration(m.lastFailureAt.Load()) + expiryGrace, revision: revision}
+			m.delayRemoval(key, pendingRemoval{due: time.Duration(m.lastFailureAt.Load()) + expiryGrace, revision: revision})
 		}
 		return changes
 	}
@@ -24,6 +24,19 @@
 	return append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: revision}, Deleted: true})
 }
 
+// delayRemoval records a pending removal. The caller holds the lock.
+func (m *Mirror) delayRemoval(key string, r pendingRemoval) {
+	m.pendingRemovals[key] = r
+	m.config.Log.Info("removal delayed", "key", key, "revision", r.revision, "delay", r.due-m.config.Now())
+}
+
+// PendingRemovals returns the number of delayed removals.
+func (m *Mirror) PendingRemovals() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.pendingRemovals)
+}
+
 // afterOutage reports whether the store was unreachable until shortly before, and
 // for long enough that entries may have expired. The caller need not hold the lock.
 func (m *Mirror) afterOutage() bool {
@@ -59,6 +72,7 @@
 		delete(m.pendingRemovals, key)
 		if kv, ok := m.items[key]; ok && kv.ModRevision <= r.revision {
 			m.deleteItem(kv, r.revision)
+			m.config.Log.Info("delayed removal applied", "key", key, "revision", r.revision)
 			changes = append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: r.revision}, Deleted: true})
 		}
 	}
