Forward delayed removals to followers

Cause: after an outage the coordinator's mirror delays removals, while its revision moves on at once. The deltas carried the revision and not the delayed removals. Followers that go on from it, because the coordinator ends or loses the duty, never learn of them from the store.

Ruled out: a store that doesn't send the event, or a poll that loses it.

Change: each delta lists all pending removals of its sender and the time that is left. Followers apply them when due and forward them. Only a newer entry cancels a pending removal, and a list of the store doesn't hasten one. Updates from another daemon apply what is due, so that a long poll can't defer it.

TestDelayedRemovalIsKnownToFollowers failed before. No call to the store is added.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -87,6 +87,11 @@
 		Cursor:   &coordinatorv1.MirrorCursor{Epoch: epoch, Index: delta.Cursor.Index, Revision: delta.Cursor.Revision},
 		AgeNanos: int64(age), Deleted: delta.Deleted, Whole: delta.Whole, AllKeys: delta.Keys, Digest: delta.Digest,
 	}
+	for _, r := range delta.Pending {
+		encoded.PendingRemovals = append(encoded.PendingRemovals, &coordinatorv1.PendingRemoval{
+			Key: r.Key, Revision: r.Revision, DelayNanos: int64(r.Delay),
+		})
+	}
 	for _, kv := range delta.Entries {
 		entry := &coordinatorv1.MirrorEntry{
 			Key: kv.Key, Revision: kv.ModRevision, CreateRevision: kv.CreateRevision, Lease: int64(kv.Lease),
@@ -166,6 +171,11 @@
 			Key: e.Key, Value: value, ModRevision: e.Revision, CreateRevision: e.CreateRevision, Lease: store.LeaseID(e.Lease),
 		})
 	}
+	for _, r := range delta.PendingRemovals {
+		decoded.Pending = append(decoded.Pending, mirror.PendingRemoval{
+			Key: r.Key, Revision: r.Revision, Delay: time.Duration(r.DelayNanos),
+		})
+	}
 	if *incomplete && !decoded.Whole && decoded.Digest == 0 {
 		return false // the answer to a request from before the difference was found
 	}
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -111,6 +111,9 @@
 	Keys  []string
 	// Digest, if not 0, is that of the other copy. It is set if deletions may be missing.
 	Digest uint64
+	// Pending holds all delayed removals of the other mirror. Its revision includes them,
+	// so a follower would never learn of them from the store.
+	Pending []PendingRemoval
 }
 
 // DeltaSince returns the changes that a follower at the cursor has not received. It
@@ -119,7 +122,7 @@
 func (m *Mirror) DeltaSince(c Cursor) Delta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	delta := Delta{Cursor: Cursor{Index: m.index, Revision: m.revision}}
+	delta := Delta{Cursor: Cursor{Index: m.index, Revision: m.revision}, Pending: m.pendingAt(m.config.Now())}
 	first := int64(1)
 	if len(m.changes) > 0 {
 		first = m.changes[0].index
@@ -218,6 +221,7 @@
 			}
 		}
 	}
+	changes = m.applyPending(changes, delta.Pending)
 	complete := delta.Digest == 0 || delta.Digest == m.digest
 	if complete {
 		m.revision = max(m.revision, delta.Cursor.Revision)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -134,7 +134,8 @@
 	interrupts      chan struct{} // a value ends the poll in progress
 }
 
-// pendingRemoval is a delayed removal. It is dropped if the entry is written again.
+// pendingRemoval is a delayed removal. It is dropped if the entry is written again after
+// it.
 type pendingRemoval struct {
 	due      time.Duration
 	revision int64
@@ -380,7 +381,9 @@
 // put stores an entry unless the copy has the same or a newer one, and adds the
 // change to changes. The caller holds the lock.
 func (m *Mirror) put(changes []Change, kv store.KeyValue) []Change {
-	delete(m.pendingRemovals, kv.Key)
+	if r, pending := m.pendingRemovals[kv.Key]; pending && kv.ModRevision > r.revision {
+		delete(m.pendingRemovals, kv.Key)
+	}
 	if old, ok := m.items[kv.Key]; ok && old.ModRevision >= kv.ModRevision {
 		return changes
 	}
--- a/internal/mirror/removals.go
+++ b/internal/mirror/removals.go
@@ -13,14 +13,14 @@
 	if !ok || kv.ModRevision > revision {
 		return changes
 	}
+	if _, pending := m.pendingRemovals[key]; pending {
+		return changes
+	}
 	if m.config.DelayRemoval != nil && m.config.DelayRemoval(key) && m.afterOutage() {
-		if _, pending := m.pendingRemovals[key]; !pending {
-			m.delayRemoval(key, pendingRemoval{due: time.Duration(m.lastFailureAt.Load()) + expiryGrace, revision: revision})
-		}
+		m.delayRemoval(key, pendingRemoval{due: time.Duration(m.lastFailureAt.Load()) + expiryGrace, revision: revision})
 		return changes
 	}
 	m.deleteItem(kv, revision)
-	delete(m.pendingRemovals, key)
 	return append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: revision}, Deleted: true})
 }
 
@@ -60,11 +60,17 @@
 
 // applyDueRemovals removes the entries whose pending removal is due.
 func (m *Mirror) applyDueRemovals() {
-	now := m.config.Now()
-	var changes []Change
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
+	changes := m.removeDue(nil)
+	m.mu.Unlock()
+	m.publish(changes)
+}
+
+// removeDue removes the entries whose pending removal is due. The caller holds the lock.
+func (m *Mirror) removeDue(changes []Change) []Change {
+	now := m.config.Now()
 	for key, r := range m.pendingRemovals {
 		if now < r.due {
 			continue
@@ -76,6 +82,43 @@
 			changes = append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: r.revision}, Deleted: true})
 		}
 	}
-	m.mu.Unlock()
-	m.publish(changes)
+	return changes
+}
+
+// PendingRemoval is a delayed removal in a delta.
+type PendingRemoval struct {
+	Key      string
+	Revision int64
+	Delay    time.Duration // time until the removal
+}
+
+// pendingAt returns the pending removals with their delays from now on. The caller
+// holds the lock.
+func (m *Mirror) pendingAt(now time.Duration) []PendingRemoval {
+	var list []PendingRemoval
+	for key, r := range m.pendingRemovals {
+		list = append(list, PendingRemoval{Key: key, Revision: r.revision, Delay: max(0, r.due-now)})
+	}
+	return list
+}
+
+// applyPending takes over the pending removals of another mirror, and applies those that
+// are due. If a removal is pending here already, the earlier time counts: each mirror has
+// seen the store return by then. The caller holds the lock.
+func (m *Mirror) applyPending(changes []Change, pending []PendingRemoval) []Change {
+	now := m.config.Now()
+	for _, p := range pending {
+		if kv, ok := m.items[p.Key]; !ok || kv.ModRevision > p.Revision {
+			continue
+		}
+		r := pendingRemoval{due: now + p.Delay, revision: p.Revision}
+		known, ok := m.pendingRemovals[p.Key]
+		switch {
+		case !ok:
+			m.delayRemoval(p.Key, r)
+		case r.due < known.due:
+			m.pendingRemovals[p.Key] = pendingRemoval{due: r.due, revision: max(r.revision, known.revision)}
+		}
+	}
+	return m.removeDue(changes)
 }
--- /dev/null
+++ b/internal/mirror/removals_test.go
@@ -0,0 +1,91 @@
+package mirror_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+)
+
+// relay applies the changes of one mirror to another one, which does not poll from then
+// on until StopRelay is called.
+func relay(from, to *mirror.Mirror) {
+	now := bootclock.Now()
+	to.ApplyDelta(from.DeltaSince(mirror.Cursor{Revision: to.Revision(), Digest: to.Digest()}), now, now+time.Hour)
+}
+
+// expireInOutage makes the store fail for longer than minOutage. When it returns, the
+// entries "a" and "b" are gone.
+func expireInOutage(s *fakeStore) {
+	s.set(func(s *fakeStore) { s.down = true })
+	time.Sleep(1700 * time.Millisecond)
+	s.set(func(s *fakeStore) {
+		s.down, s.revision = false, 8
+		s.events = append(s.events, deleteEvent("a", 7), deleteEvent("b", 8))
+	})
+}
+
+// Guards against entries that stay for good (review/6): a mirror delays their removal
+// after an outage, forwards a revision that includes it, and ends. The followers go on from
+// that revision, also those of a follower.
+func TestDelayedRemovalIsKnownToFollowers(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{list: []store.KeyValue{entry("a", 5), entry("b", 6)}, revision: 6}
+	leader, first, second := startMirror(t, s), startMirror(t, s), startMirror(t, s)
+	for _, m := range []*mirror.Mirror{leader, first, second} {
+		g.Eventually(m.Synced, time.Second).Should(BeTrue())
+	}
+	relay(leader, first)
+	relay(leader, second)
+	expireInOutage(s)
+	returned := time.Now()
+	g.Eventually(leader.PendingRemovals, time.Second).Should(Equal(2))
+	relay(leader, first)
+	relay(first, second)
+	s.set(func(s *fakeStore) { s.revision, s.events = 9, append(s.events, putEvent("b", 9)) })
+	first.StopRelay()
+	second.StopRelay()
+	time.Sleep(time.Until(returned.Add(1500 * time.Millisecond)))
+	for _, m := range []*mirror.Mirror{first, second} {
+		g.Expect(has(m, "a")()).To(BeTrue(), "its owner may still write it again")
+		g.Eventually(has(m, "a"), 2*time.Second).Should(BeFalse())
+		g.Expect(has(m, "b")()).To(BeTrue(), "it was written again")
+	}
+}
+
+// A mirror is behind another one, and gets no polls of its own answered. Guards against an
+// entry that stays for good because an older copy of it arrives while its removal is delayed.
+func TestOlderCopyDoesNotCancelDelayedRemoval(t *testing.T) {
+	g := NewWithT(t)
+	f := newFollower()
+	now := bootclock.Now()
+	f.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 5}, Entries: []store.KeyValue{entry("a", 5)}}, now, now)
+	pending := []mirror.PendingRemoval{{Key: "a", Revision: 7, Delay: 50 * time.Millisecond}}
+	f.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 2, Revision: 8}, Pending: pending}, now, now)
+	f.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 5}, Entries: []store.KeyValue{entry("a", 5)}}, now, now)
+	g.Expect(has(f, "a")()).To(BeTrue())
+	time.Sleep(60 * time.Millisecond)
+	f.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 3, Revision: 8}}, now, now)
+	g.Expect(has(f, "a")()).To(BeFalse())
+}
+
+// Guards against a removal that a second cause hastens: the store has forgotten its history
+// and is listed again while the removal is delayed.
+func TestListDoesNotHastenDelayedRemoval(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{list: []store.KeyValue{entry("a", 5)}, revision: 5}
+	f := startMirror(t, s)
+	g.Eventually(f.Synced, time.Second).Should(BeTrue())
+	now := bootclock.Now()
+	pending := []mirror.PendingRemoval{{Key: "a", Revision: 7, Delay: time.Second}}
+	f.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 2, Revision: 8}, Pending: pending}, now, now)
+	f.StopRelay()
+	s.set(func(s *fakeStore) { s.compacted, s.list, s.revision = true, []store.KeyValue{entry("c", 9)}, 9 })
+	g.Eventually(has(f, "c"), time.Second).Should(BeTrue())
+	g.Expect(has(f, "a")()).To(BeTrue())
+	g.Eventually(has(f, "a"), 2*time.Second).Should(BeFalse())
+}
