Check both followers before waiting for either

Cause: it looked at the second follower's copy only after it had waited for the first one to remove the entry, when both are due at the same time (logs: both applied the removal within 10 ms, 2.0 s after the return). The product did what the test asks.

Change: both checks that the entry is still there come first. Bounds unchanged.

--- a/internal/mirror/removals_test.go
+++ b/internal/mirror/removals_test.go
@@ -52,6 +52,8 @@
 	time.Sleep(time.Until(returned.Add(1500 * time.Millisecond)))
 	for _, m := range []*mirror.Mirror{first, second} {
 		g.Expect(has(m, "a")()).To(BeTrue(), "its owner may still write it again")
+	}
+	for _, m := range []*mirror.Mirror{first, second} {
 		g.Eventually(has(m, "a"), 2*time.Second).Should(BeFalse())
 		g.Expect(has(m, "b")()).To(BeTrue(), "it was written again")
 	}
