Judge outages of the store by the calls of both mirrors

What callers would see: after an outage of 2.3 to 3 s in which leases lapsed, a daemon drops live instances at once instead of waiting until they are back. The opposite too: one refused call delayed the removals that came 1.5 to 2.3 s after it by up to 0.8 s.

Cause: each mirror judged by its own failed calls. The mirror of instances doesn't poll while the other one fails, so its last failure can be older than the grace. The outage was measured up to the removal, not to its end.

Evidence: a fleet test on the code before logs "dependency lost prefix=op/" only, and "instance gone" 60 ms after "dependency regained".

Change: the mirrors of a daemon share a record of answers and failures. A removal is delayed if calls failed and 1.5 s or more lay between the last answer before and the next one, by whichever mirror or daemon. It waits 2 s from that answer, or 2.3 s from the last failure if that is later; before, it could end 1.5 s after the store's return.

No call is added.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -203,14 +203,15 @@
 
 func (d *Daemon) buildMirrors() {
 	operator, fleetPrefix := d.platform.Reader.Prefixes()
+	contact := &mirror.Contact{}
 	d.state.fleet = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, MaxPollWait: func() time.Duration { return fleetPollWait }, PollPause: d.currentFleetPollPause, Now: bootclock.Now,
-		DelayRemoval: d.state.mayExpireInOutage, OnChanges: d.state.apply, MaxValueBytes: maxFleetValueBytes,
+		Contact: contact, DelayRemoval: d.state.mayExpireInOutage, OnChanges: d.state.apply, MaxValueBytes: maxFleetValueBytes,
 		Backoff: d.storeBackoff, HoldOff: func() bool { return d.state.operator.Failing() },
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, MaxPollWait: d.currentConfigPollWait, PollPause: func() time.Duration { return configPollPause }, Now: bootclock.Now,
-		OnConnectivityChange: d.state.fleet.InterruptPoll, OnChanges: d.state.apply, Backoff: d.storeBackoff,
+		Contact: contact, OnConnectivityChange: d.state.fleet.InterruptPoll, OnChanges: d.state.apply, Backoff: d.storeBackoff,
 		PauseAfterList: true,
 	})
 }
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -250,6 +250,7 @@
 // older revision, was current at currentAt. This mirror does not poll the store
 // until relayTimeout after relayedAt.
 func (m *Mirror) SetRelayedCurrent(currentAt, relayedAt time.Duration) {
+	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
 	if int64(relayedAt) > m.relayedAt.Load() {
 		m.relayedAt.Store(int64(relayedAt))
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -34,12 +34,15 @@
 	listTimeout = 15 * time.Second
 	// pollReplyMargin is the time for the reply to a poll to arrive after its wait.
 	pollReplyMargin = 700 * time.Millisecond
-	// expiryGrace is how long entries that disappeared around an outage of the store
-	// are kept after it: their owners write them again within about 2 s after the
-	// store has recovered.
-	expiryGrace = 2300 * time.Millisecond
-	// minOutage is the shortest outage in which an entry can expire: owners write
-	// about every second, and an entry expires after three missed writes.
+	// rewriteTime is the time within which the owners of entries that expired in an outage
+	// write them again after it.
+	rewriteTime = 2 * time.Second
+	// expiryGrace is how long entries that disappeared around an outage of the store are
+	// kept after the last failed call.
+	expiryGrace = rewriteTime + 300*time.Millisecond
+	// minOutage is the shortest outage after which removals are delayed. It is somewhat
+	// shorter than the shortest one in which an entry can expire: owners write about every
+	// second, and an entry expires after three missed writes.
 	minOutage = 1500 * time.Millisecond
 )
 
@@ -86,6 +89,8 @@
 	HoldOff func() bool
 	// Now returns the time since a fixed moment, including suspensions of the machine.
 	Now func() time.Duration
+	// Contact is shared by the mirrors of a daemon. Nil means that this is the only one.
+	Contact *Contact
 	// DelayRemoval reports whether the removal of a key is delayed if an outage of
 	// the store may have caused it.
 	DelayRemoval func(key string) bool
@@ -123,15 +128,14 @@
 	revision        int64
 
 	// The times are values of Now(); 0 means never.
-	currentAt       atomic.Int64 // latest time at which the copy is known to be current
-	lastFailureAt   atomic.Int64 // latest failed call
-	outageStartedAt atomic.Int64 // first failed call of the latest outage
-	synced          atomic.Bool
-	failing         atomic.Bool   // the latest call got no reply
-	relayedAt       atomic.Int64  // latest update from another daemon
-	polledAt        atomic.Int64  // latest time at which a call of this mirror showed the copy to be current
-	pollUntil       atomic.Int64  // until then the mirror polls even if it gets updates from another daemon
-	interrupts      chan struct{} // a value ends the poll in progress
+	currentAt     atomic.Int64 // latest time at which the copy is known to be current
+	lastFailureAt atomic.Int64 // latest failed call
+	synced        atomic.Bool
+	failing       atomic.Bool   // the latest call got no reply
+	relayedAt     atomic.Int64  // latest update from another daemon
+	polledAt      atomic.Int64  // latest time at which a call of this mirror showed the copy to be current
+	pollUntil     atomic.Int64  // until then the mirror polls even if it gets updates from another daemon
+	interrupts    chan struct{} // a value ends the poll in progress
 }
 
 // pendingRemoval is a delayed removal. It is dropped if the entry is written again after
@@ -143,6 +147,9 @@
 
 // New returns an empty mirror.
 func New(config Config) *Mirror {
+	if config.Contact == nil {
+		config.Contact = &Contact{}
+	}
 	return &Mirror{
 		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{},
 		interrupts: make(chan struct{}, 1),
@@ -215,9 +222,9 @@
 		if err != nil && ctx.Err() == nil {
 			if m.lastFailureAt.Load() <= m.currentAt.Load() {
 				m.config.Log.Warn("dependency lost", "dependency", "store", "prefix", m.config.Prefix, "error", err)
-				m.outageStartedAt.Store(int64(m.config.Now()))
 			}
 			m.lastFailureAt.Store(int64(m.config.Now()))
+			m.config.Contact.failed(m.config.Now())
 			m.failing.Store(true)
 			if m.config.OnConnectivityChange != nil {
 				m.config.OnConnectivityChange()
@@ -261,6 +268,7 @@
 	if err != nil {
 		return err
 	}
+	m.config.Contact.answered(sent, sent, m.config.Now())
 	present := map[string]bool{}
 	var changes []Change
 	m.publishing.Lock()
@@ -310,6 +318,8 @@
 	if err != nil {
 		return err
 	}
+	answered := m.config.Now()
+	m.recordContact(sent, answered)
 	var changes []Change
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
@@ -324,10 +334,19 @@
 	m.revision = max(m.revision, revision)
 	m.mu.Unlock()
 	m.publish(changes)
-	m.setCurrent(currentAfterPoll(sent, m.config.Now(), wait, len(events)))
+	m.setCurrent(currentAfterPoll(sent, answered, wait, len(events)))
 	return nil
 }
 
+// recordContact records a poll. Nothing is known of the store in the time of a long one.
+func (m *Mirror) recordContact(sent, answered time.Duration) {
+	from := sent
+	if answered-sent > minOutage {
+		from = answered
+	}
+	m.config.Contact.answered(from, answered, answered)
+}
+
 // currentAfterPoll returns the latest time at which a poll shows the copy to be
 // current. The store replies at once when there is a change. A reply without
 // changes was therefore sent after the whole wait, which began no earlier than the
--- a/internal/mirror/removals.go
+++ b/internal/mirror/removals.go
@@ -16,9 +16,11 @@
 	if _, pending := m.pendingRemovals[key]; pending {
 		return changes
 	}
-	if m.config.DelayRemoval != nil && m.config.DelayRemoval(key) && m.afterOutage() {
-		m.delayRemoval(key, pendingRemoval{due: time.Duration(m.lastFailureAt.Load()) + expiryGrace, revision: revision})
-		return changes
+	if m.config.DelayRemoval != nil && m.config.DelayRemoval(key) {
+		if due, delayed := m.config.Contact.removalDue(m.config.Now()); delayed {
+			m.delayRemoval(key, pendingRemoval{due: due, revision: revision})
+			return changes
+		}
 	}
 	m.deleteItem(kv, revision)
 	return append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: revision}, Deleted: true})
@@ -37,13 +39,6 @@
 	return len(m.pendingRemovals)
 }
 
-// afterOutage reports whether the store was unreachable until shortly before, and
-// for long enough that entries may have expired. The caller need not hold the lock.
-func (m *Mirror) afterOutage() bool {
-	lastFailure, start := time.Duration(m.lastFailureAt.Load()), time.Duration(m.outageStartedAt.Load())
-	return lastFailure != 0 && m.config.Now()-lastFailure < expiryGrace && m.config.Now()-start > minOutage
-}
-
 // nextRemovalDue returns the time of the next pending removal, and false if there
 // is none.
 func (m *Mirror) nextRemovalDue() (time.Duration, bool) {
--- a/internal/mirror/removals_test.go
+++ b/internal/mirror/removals_test.go
@@ -1,6 +1,9 @@
 package mirror_test
 
 import (
+	"context"
+	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -91,3 +94,69 @@
 	g.Expect(has(f, "a")()).To(BeTrue())
 	g.Eventually(has(f, "a"), 2*time.Second).Should(BeFalse())
 }
+
+// The store is down for 2.6 s. The mirror is kept from polling after its first failure,
+// since the calls of the other mirror fail. Guards against removing all entries that
+// expired in the outage at once because the mirror's own failure is long past.
+func TestOutageSeenByTheOtherMirrorDelaysRemovals(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{list: []store.KeyValue{entry("a", 5), entry("b", 6)}, revision: 6}
+	m, _ := startMirrors(t, s)
+	s.set(func(s *fakeStore) { s.down = true })
+	time.Sleep(2600 * time.Millisecond)
+	s.set(func(s *fakeStore) {
+		s.down, s.revision = false, 8
+		s.events = append(s.events, deleteEvent("a", 7), deleteEvent("b", 8))
+	})
+	g.Eventually(m.PendingRemovals, 2*time.Second, 5*time.Millisecond).Should(Equal(2))
+	time.Sleep(time.Second)
+	g.Expect(has(m, "a")()).To(BeTrue(), "its owner may still write it again")
+	g.Eventually(has(m, "a"), 3*time.Second).Should(BeFalse())
+}
+
+// The store refuses one call, and an instance leaves 1.6 s later. Guards against a removal
+// that is delayed although the store was hardly away.
+func TestShortOutageDelaysNoRemoval(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{list: []store.KeyValue{entry("a", 5)}, revision: 6}
+	m, other := startMirrors(t, s)
+	s.set(func(s *fakeStore) { s.down = true })
+	g.Eventually(other.Failing, time.Second, time.Millisecond).Should(BeTrue())
+	s.set(func(s *fakeStore) { s.down = false })
+	time.Sleep(1600 * time.Millisecond)
+	s.set(func(s *fakeStore) { s.revision, s.events = 7, append(s.events, deleteEvent("a", 7)) })
+	g.Eventually(has(m, "a"), 300*time.Millisecond, 5*time.Millisecond).Should(BeFalse())
+}
+
+// startMirrors runs two mirrors of s as a daemon does. The first one polls as long as there
+// is no change, and doesn't poll while the calls of the other one fail.
+func startMirrors(t *testing.T, s *fakeStore) (m, other *mirror.Mirror) {
+	t.Helper()
+	config := mirror.Config{
+		Store: s, Log: slog.New(slog.DiscardHandler), PollPause: func() time.Duration { return 5 * time.Millisecond },
+		Now: bootclock.Now, DelayRemoval: func(string) bool { return true }, OnChange: func(mirror.Change) {},
+		Contact: &mirror.Contact{},
+	}
+	first := config
+	first.MaxPollWait = func() time.Duration { return 8 * time.Second }
+	first.HoldOff = func() bool { return other.Failing() }
+	m = mirror.New(first)
+	second := config
+	second.MaxPollWait = func() time.Duration { return 100 * time.Millisecond }
+	second.OnConnectivityChange = m.InterruptPoll
+	other = mirror.New(second)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, each := range []*mirror.Mirror{m, other} {
+		running.Go(func() { _ = each.Run(ctx) }) // ends with ctx
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	g := NewWithT(t)
+	g.Eventually(m.Synced, time.Second).Should(BeTrue())
+	g.Eventually(other.Synced, time.Second).Should(BeTrue())
+	time.Sleep(100 * time.Millisecond)
+	return m, other
+}
