Apply forwarded removals at once where the store was in reach

What callers saw: requests at an instance up to 3.0 s after its removal (bound 2 s), after the coordinator alone had been cut off from the store.

Cause: the coordinator can't tell a removed entry from an expired one after its outage and delays the removal. Its followers waited with it, although they had polled the store meanwhile.

Change: a follower whose contact with the store, by its own polls or by proofs that others forward, had no gap of 2 s (the shortest outage in which an entry can expire) applies forwarded removals at once. A reply to a poll proves contact at the time of sending only if it came when the wait had ended.

Ruled out: forwarding nothing while removals are delayed. Followers would poll then, and drop live instances if they had not noticed a real outage themselves.

Result: TestFollowerInContactDoesNotDelayRemovals fails before, passes now. No call is added. TestDelayedRemovalIsKnownToFollowers has an outage of 2.2 s instead of 1.7 s: in a shorter one no entry can expire, and followers needn't wait.

--- a/internal/mirror/contact.go
+++ b/internal/mirror/contact.go
@@ -11,6 +11,7 @@
 	mu         sync.Mutex
 	answeredAt time.Duration // latest time at which the store is known to have answered
 	failedAt   time.Duration // latest failed call of this daemon
+	gapEnd     time.Duration // end of the latest time of expiryTime or more without an answer
 	graceEnd   time.Duration // see removalDue
 }
 
@@ -19,7 +20,11 @@
 func (c *Contact) answered(from, to, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failedAt > c.answeredAt && from-c.answeredAt > minOutage {
+	gap := from - c.answeredAt
+	if gap > expiryTime {
+		c.gapEnd = now
+	}
+	if gap > minOutage && c.failedAt > c.answeredAt {
 		c.graceEnd = max(c.failedAt+expiryGrace, now+rewriteTime)
 	}
 	c.answeredAt = max(c.answeredAt, to)
@@ -39,3 +44,11 @@
 	defer c.mu.Unlock()
 	return c.graceEnd, now < c.graceEnd
 }
+
+// steady reports whether the store has answered all the time, so that owners whose entries
+// are missing have removed them, or have had the time to write them again.
+func (c *Contact) steady(now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now-c.answeredAt <= expiryTime && now-c.gapEnd > expiryGrace
+}
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -196,6 +196,7 @@
 // may then still have entries that were deleted: it isn't current, and the next request
 // should have no digest.
 func (m *Mirror) ApplyDelta(delta Delta, currentAt, requestedAt time.Duration) bool {
+	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
 	var changes []Change
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
@@ -241,9 +242,7 @@
 	if !ok || kv.ModRevision > revision {
 		return changes
 	}
-	m.deleteItem(kv, revision)
-	delete(m.pendingRemovals, key)
-	return append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: revision}, Deleted: true})
+	return m.remove(changes, kv, revision)
 }
 
 // SetRelayedCurrent records that the mirror of another daemon, with the same or an
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -34,15 +34,19 @@
 	listTimeout = 15 * time.Second
 	// pollReplyMargin is the time for the reply to a poll to arrive after its wait.
 	pollReplyMargin = 700 * time.Millisecond
+	// replyTime is the usual time for the reply to a poll to arrive after its wait.
+	replyTime = 300 * time.Millisecond
 	// rewriteTime is the time within which the owners of entries that expired in an outage
 	// write them again after it.
 	rewriteTime = 2 * time.Second
 	// expiryGrace is how long entries that disappeared around an outage of the store are
 	// kept after the last failed call.
 	expiryGrace = rewriteTime + 300*time.Millisecond
-	// minOutage is the shortest outage after which removals are delayed. It is somewhat
-	// shorter than the shortest one in which an entry can expire: owners write about every
-	// second, and an entry expires after three missed writes.
+	// expiryTime is the shortest outage in which an entry can expire: owners write about
+	// every second, and an entry expires after three missed writes.
+	expiryTime = 2 * time.Second
+	// minOutage is the shortest outage after which a daemon whose own calls failed delays
+	// removals.
 	minOutage = 1500 * time.Millisecond
 )
 
@@ -319,7 +323,7 @@
 		return err
 	}
 	answered := m.config.Now()
-	m.recordContact(sent, answered)
+	m.recordContact(sent, answered, wait, len(events))
 	var changes []Change
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
@@ -338,10 +342,12 @@
 	return nil
 }
 
-// recordContact records a poll. Nothing is known of the store in the time of a long one.
-func (m *Mirror) recordContact(sent, answered time.Duration) {
+// recordContact records a reply to a poll. It shows that the store answered when the poll
+// was sent only if it came when the wait had ended: otherwise the poll may have been
+// delayed. Nothing is known of the store in the time of a long poll.
+func (m *Mirror) recordContact(sent, answered, wait time.Duration, events int) {
 	from := sent
-	if answered-sent > minOutage {
+	if events > 0 || answered-sent > min(wait+replyTime, minOutage) {
 		from = answered
 	}
 	m.config.Contact.answered(from, answered, answered)
--- a/internal/mirror/removals.go
+++ b/internal/mirror/removals.go
@@ -22,8 +22,14 @@
 			return changes
 		}
 	}
+	return m.remove(changes, kv, revision)
+}
+
+// remove removes an entry. The caller holds the lock.
+func (m *Mirror) remove(changes []Change, kv store.KeyValue, revision int64) []Change {
 	m.deleteItem(kv, revision)
-	return append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: revision}, Deleted: true})
+	delete(m.pendingRemovals, kv.Key)
+	return append(changes, Change{KeyValue: store.KeyValue{Key: kv.Key, ModRevision: revision}, Deleted: true})
 }
 
 // delayRemoval records a pending removal. The caller holds the lock.
@@ -72,9 +78,8 @@
 		}
 		delete(m.pendingRemovals, key)
 		if kv, ok := m.items[key]; ok && kv.ModRevision <= r.revision {
-			m.deleteItem(kv, r.revision)
 			m.config.Log.Info("delayed removal applied", "key", key, "revision", r.revision)
-			changes = append(changes, Change{KeyValue: store.KeyValue{Key: key, ModRevision: r.revision}, Deleted: true})
+			changes = m.remove(changes, kv, r.revision)
 		}
 	}
 	return changes
@@ -99,17 +104,22 @@
 
 // applyPending takes over the pending removals of another mirror, and applies those that
 // are due. If a removal is pending here already, the earlier time counts: each mirror has
-// seen the store return by then. The caller holds the lock.
+// seen the store return by then. If only the other daemon was cut off from the store, they
+// are due at once. The caller holds the lock.
 func (m *Mirror) applyPending(changes []Change, pending []PendingRemoval) []Change {
 	now := m.config.Now()
+	steady := m.config.Contact.steady(now)
 	for _, p := range pending {
-		if kv, ok := m.items[p.Key]; !ok || kv.ModRevision > p.Revision {
+		kv, ok := m.items[p.Key]
+		if !ok || kv.ModRevision > p.Revision {
 			continue
 		}
 		r := pendingRemoval{due: now + p.Delay, revision: p.Revision}
-		known, ok := m.pendingRemovals[p.Key]
+		known, pending := m.pendingRemovals[p.Key]
 		switch {
-		case !ok:
+		case steady:
+			changes = m.remove(changes, kv, p.Revision)
+		case !pending:
 			m.delayRemoval(p.Key, r)
 		case r.due < known.due:
 			m.pendingRemovals[p.Key] = pendingRemoval{due: r.due, revision: max(r.revision, known.revision)}
--- a/internal/mirror/removals_test.go
+++ b/internal/mirror/removals_test.go
@@ -21,11 +21,11 @@
 	to.ApplyDelta(from.DeltaSince(mirror.Cursor{Revision: to.Revision(), Digest: to.Digest()}), now, now+time.Hour)
 }
 
-// expireInOutage makes the store fail for longer than minOutage. When it returns, the
+// expireInOutage makes the store fail for longer than expiryTime. When it returns, the
 // entries "a" and "b" are gone.
 func expireInOutage(s *fakeStore) {
 	s.set(func(s *fakeStore) { s.down = true })
-	time.Sleep(1700 * time.Millisecond)
+	time.Sleep(2200 * time.Millisecond)
 	s.set(func(s *fakeStore) {
 		s.down, s.revision = false, 8
 		s.events = append(s.events, deleteEvent("a", 7), deleteEvent("b", 8))
@@ -160,3 +160,22 @@
 	time.Sleep(100 * time.Millisecond)
 	return m, other
 }
+
+// The coordinator is cut off from the store for 2.6 s, an instance leaves afterwards, and
+// the coordinator delays its removal. Guards against followers that wait as well, which is
+// beyond the leave time, although the store has answered them all the time.
+func TestFollowerInContactDoesNotDelayRemovals(t *testing.T) {
+	g := NewWithT(t)
+	list := []store.KeyValue{entry("a", 5), entry("b", 6)}
+	cut, s := &fakeStore{list: list, revision: 6}, &fakeStore{list: list, revision: 6}
+	leader, follower := startMirror(t, cut), startMirror(t, s)
+	g.Eventually(leader.Synced, time.Second).Should(BeTrue())
+	g.Eventually(follower.Synced, time.Second).Should(BeTrue())
+	cut.set(func(s *fakeStore) { s.down = true })
+	time.Sleep(2600 * time.Millisecond)
+	cut.set(func(s *fakeStore) { s.down, s.revision, s.events = false, 7, []store.Event{deleteEvent("a", 7)} })
+	g.Eventually(leader.PendingRemovals, time.Second, 5*time.Millisecond).Should(Equal(1))
+	relay(leader, follower)
+	g.Expect(has(follower, "a")()).To(BeFalse())
+	g.Expect(has(follower, "b")()).To(BeTrue())
+}
