Apply delayed removals when they are due, also in pauses

What callers saw: requests at an instance up to 3.0 s after its removal, from the daemon that had been cut off and had contact again for 3 s.

Cause: due removals were applied only after the pause between two polls, 0.8 s at a daemon that isn't the coordinator.

Change: a pause applies what becomes due in it.

No call is added.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -206,8 +206,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		if listed && (m.Relayed() && !m.PollRequired() || m.heldOff()) {
-			duty.Sleep(ctx, relayCheckInterval)
-			m.applyDueRemovals()
+			m.pause(ctx, relayCheckInterval)
 			continue
 		}
 		var err error
@@ -239,12 +238,29 @@
 		} else {
 			retryDelay = 0
 		}
-		duty.Sleep(ctx, pause)
-		m.applyDueRemovals()
+		m.pause(ctx, pause)
 	}
 	return ctx.Err()
 }
 
+// pause waits for a duration, or until ctx ends, and applies pending removals when they are
+// due.
+func (m *Mirror) pause(ctx context.Context, duration time.Duration) {
+	end := m.config.Now() + duration
+	for {
+		now := m.config.Now()
+		wait := end - now
+		if due, pending := m.nextRemovalDue(); pending {
+			wait = min(wait, due-now)
+		}
+		duty.Sleep(ctx, max(wait, 0))
+		m.applyDueRemovals()
+		if ctx.Err() != nil || m.config.Now() >= end {
+			return
+		}
+	}
+}
+
 func (m *Mirror) backoff() Backoff {
 	if m.config.Backoff == nil {
 		return DefaultBackoff
--- a/internal/mirror/removals_test.go
+++ b/internal/mirror/removals_test.go
@@ -179,3 +179,23 @@
 	g.Expect(has(follower, "a")()).To(BeFalse())
 	g.Expect(has(follower, "b")()).To(BeTrue())
 }
+
+// Guards against a removal that waits for the end of the pause between two polls, although
+// it is due.
+func TestDueRemovalIsAppliedInThePause(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New(mirror.Config{
+		Store: &fakeStore{list: []store.KeyValue{entry("a", 5)}, revision: 5}, Log: slog.New(slog.DiscardHandler),
+		MaxPollWait: func() time.Duration { return time.Second }, PollPause: func() time.Duration { return 3 * time.Second },
+		Now: bootclock.Now, OnChange: func(mirror.Change) {},
+	})
+	now := bootclock.Now()
+	pending := []mirror.PendingRemoval{{Key: "a", Revision: 7, Delay: 300 * time.Millisecond}}
+	m.ApplyDelta(mirror.Delta{Cursor: mirror.Cursor{Index: 1, Revision: 8}, Entries: []store.KeyValue{entry("a", 5)}, Pending: pending}, now, now)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = m.Run(ctx) }() // ends with ctx
+	g.Eventually(m.Synced, time.Second).Should(BeTrue())
+	g.Expect(has(m, "a")()).To(BeTrue())
+	g.Eventually(has(m, "a"), time.Second).Should(BeFalse())
+}
