Test a long part of an early answer at the relay

Change: a test with a part of 1 MiB; the client's connection must break, or the answer be a 502. No change to the product.

--- a/internal/relay/brokenreply_test.go
+++ b/internal/relay/brokenreply_test.go
@@ -62,6 +62,29 @@
 	})
 }
 
+// Such a part is so long that it has been forwarded in part before the reset. Guards against
+// an answer that ends in order at the client.
+func TestLongPartOfAnEarlyAnswerLooksBroken(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(t)
+	upload := longUpload()
+	s.table.Load().Limits.MaxBodyBytes = len(upload)
+	s.rawServer("w1", "order", func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, head(r.Header.Get("X-Request-Id"), "\r\n"))
+		for range 64 {
+			_, _ = io.WriteString(c, strings.Repeat("p", 16<<10))
+		}
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetLinger(0)
+	})
+	for range 10 {
+		a := s.sendBody(t.Context(), "/order/1", upload)
+		if a.err == nil {
+			g.Expect(a.status).To(Equal(http.StatusBadGateway), "a body of %d bytes", len(a.body))
+		}
+	}
+}
+
 // Guards against failing an early answer without a length whose connection ends in order.
 func TestWholeEarlyAnswerIsForwarded(t *testing.T) {
 	g := NewWithT(t)
