Soak: removals around moves of the coordinator duty

The tests of delayed removals run in one process; a daemon that is frozen or killed is imitated there.

The coordinator loses the store for 0.3 to 2.8 s (silent or reset), a worker leaves without notice, and the duty stays, or moves by a stop, a kill, SIGSTOP for 4 s, a lost lease, or twice. A request that a daemon without a fault in the last 3 s sends to the worker over 2.5 s after its removal is a violation.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -18,6 +18,8 @@
 type faultLog struct {
 	leaving     map[string]time.Time // time of the announcement by worker ID
 	revoked     map[string]time.Time // time of the revocation by account
+	removed     map[string]time.Time // time at which the entry was removed by worker ID
+	disturbed   map[string]time.Time // time of the latest fault of moveFaults by address of the daemon
 	onlyPlanned bool                 // all faults were planned operations
 	lines       []string             // one for each fault
 }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -26,6 +26,7 @@
 	Planned bool          `help:"Only planned operations: stops, leaving workers, revoked keys, configurations."`
 	Trouble bool          `help:"Adds faults of workers in trouble and of other writers: pauses, bytes without end, odd entries."`
 	Broken  bool          `help:"Adds workers that send malformed answers, four times as often as other faults."`
+	Moves   bool          `help:"Plays series in which the coordinator loses the store, a worker leaves, and the duty moves, instead of other faults."`
 	Keep    string        `default:"" help:"Folder that keeps the logs of failed seeds."`
 }
 
@@ -64,7 +65,10 @@
 	callers.start(ctx, o.Clients, seed)
 	p := &faultInjector{
 		cluster: c, random: rand.New(rand.NewPCG(seed, 1)),
-		record: &faultLog{leaving: map[string]time.Time{}, revoked: map[string]time.Time{}, onlyPlanned: true},
+		record: &faultLog{
+			leaving: map[string]time.Time{}, revoked: map[string]time.Time{}, removed: map[string]time.Time{},
+			disturbed: map[string]time.Time{}, onlyPlanned: !o.Moves,
+		},
 	}
 	faultsBegan := time.Now()
 	kinds := faults
@@ -74,7 +78,11 @@
 	if o.Broken {
 		kinds = slices.Concat(kinds, slices.Repeat(brokenFaults, 4*len(faults)))
 	}
-	p.run(o.Length, kinds, func(f fault) bool { return !o.Planned || f.planned })
+	if o.Moves {
+		(&moveFaults{cluster: c, random: p.random, record: p.record, began: faultsBegan}).run()
+	} else {
+		p.run(o.Length, kinds, func(f fault) bool { return !o.Planned || f.planned })
+	}
 	faultsEnded := time.Now()
 	time.Sleep(recoveryTime)
 	measureFrom := time.Now()
@@ -82,6 +90,7 @@
 	cancel()
 	outcomes := callers.wait()
 	r := result{violations: checkOutcomes(outcomes, c.workers, p.record, c.cloud.Problems()), faults: p.record.lines, requests: len(outcomes)}
+	r.violations = append(r.violations, checkRemoved(outcomes, c.workers, p.record)...)
 	r.violations = append(r.violations, c.exits()...)
 	r.faultShare = successShare(outcomes, faultsBegan, faultsEnded)
 	r.recoveredShare = successShare(outcomes, measureFrom, time.Now())
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,17 +8,19 @@
 )
 
 // ciSeeds are the seeds that CI runs: two with all faults, one with planned operations
-// only, one with workers in trouble, and one with workers that send malformed answers.
+// only, one with workers in trouble, one with workers that send malformed answers, and one
+// with moves of the coordinator duty.
 var ciSeeds = []struct {
 	seed                     uint64
 	planned, trouble, broken bool
-}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}, {seed: 2001, trouble: true}, {seed: 3001, broken: true}}
+	moves                    bool
+}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}, {seed: 2001, trouble: true}, {seed: 3001, broken: true}, {seed: 4008, moves: true}}
 
 // Guards against violated guarantees when faults hit daemons that run as processes.
 func TestSeededSoak(t *testing.T) {
 	binary, _ := buildPrograms(t)
 	for _, c := range ciSeeds {
-		o := options{Binary: binary, Length: 12 * time.Second, Daemons: 4, Clients: 12, Planned: c.planned, Trouble: c.trouble, Broken: c.broken}
+		o := options{Binary: binary, Length: 12 * time.Second, Daemons: 4, Clients: 12, Planned: c.planned, Trouble: c.trouble, Broken: c.broken, Moves: c.moves}
 		r, err := runSeed(o, c.seed, t.TempDir())
 		if err != nil {
 			t.Fatal(err)
