Mirror: log and count a store revision that went back

A store that lost its history and one that was restored from an older copy looked the same in the logs: "store history lost, list again". Change: a list with a lower revision than that of the copy is logged with both, and counted.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
@@ -289,6 +290,10 @@
 		return err
 	}
 	m.config.Contact.answered(sent, sent, m.config.Now())
+	if known := m.Revision(); revision < known {
+		metrics.GetOrCreateCounter("rudder_store_regressions_total").Inc()
+		m.config.Log.Error("store revision went back", "prefix", m.config.Prefix, "revision", revision, "known", known)
+	}
 	present := map[string]bool{}
 	var changes []Change
 	m.publishing.Lock()
