--- a/internal/edge/fleetload_test.go
+++ b/internal/edge/fleetload_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 	"github.com/dogwoodrudder/dogwoodrudder/platform"
@@ -234,6 +235,12 @@
 // newFleet returns daemons on large and small machines in five data centres that share
 // a store, and call each other without a network. Calls of a daemon in stopped fail.
 func newFleet(t *testing.T, n int, shared *sharedStore, stopped *sync.Map, change ...func(*settings.Edge)) []*Daemon {
+	t.Helper()
+	return newFleetOn(t, n, func(name string) mirror.Poller { return storeClient{shared, name} }, stopped, change...)
+}
+
+// newFleetOn is newFleet with the client of the store for each daemon.
+func newFleetOn(t *testing.T, n int, client func(name string) mirror.Poller, stopped *sync.Map, change ...func(*settings.Edge)) []*Daemon {
 	t.Helper()
 	byAddress := map[string]*Daemon{}
 	daemons := make([]*Daemon, n)
@@ -254,7 +261,7 @@
 			f(s)
 		}
 		d := New(s, Platform{
-			Store: storeClient{shared, s.Name}, Cloud: platform.NewCloud("127.0.0.1:4", s.Name), Reader: platform.Reader{},
+			Store: client(s.Name), Cloud: platform.NewCloud("127.0.0.1:4", s.Name), Reader: platform.Reader{},
 			Headers: platform.Headers{}, Ready: platform.ReadyHandler, Directory: platform.DirectoryHandler,
 		}, slog.New(slog.DiscardHandler))
 		d.link.dial = func(address string) (coordinatorv1.CoordinatorClient, error) {
--- a/test/standin/platform/store.go
+++ b/test/standin/platform/store.go
@@ -3,7 +3,11 @@
 package platform
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -18,6 +22,10 @@
 	Mute bool          // doesn't respond
 	Lose bool          // executes writes and closes the connection without a response
 	Slow time.Duration // delays every response
+	// SlowReply delays every response after the call was executed.
+	SlowReply time.Duration
+	// Late executes writes after this time; the connection is closed without a response.
+	Late time.Duration
 }
 
 // item is a stored entry or, in the history, a change.
@@ -39,6 +47,7 @@
 // Store is an in-memory key-value store.
 type Store struct {
 	mu        sync.Mutex
+	era       int64         // rises at each restore
 	changed   chan struct{} // closed and replaced at each change
 	faults    Faults
 	revision  int64
@@ -53,7 +62,7 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		changed: make(chan struct{}), revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, nextLease: 100,
+		changed: make(chan struct{}), era: 1, revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, nextLease: 100,
 	}
 }
 
@@ -110,6 +119,46 @@
 	s.notifyWatches()
 }
 
+// Snapshot is a copy of the store from which it can be restored.
+type Snapshot struct {
+	revision, nextLease int64
+	items               map[string]item
+	leases              map[int64]lease
+}
+
+// Snapshot returns a copy of the store.
+func (s *Store) Snapshot() *Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Snapshot{revision: s.revision, nextLease: s.nextLease, items: maps.Clone(s.items), leases: map[int64]lease{}}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore replaces the contents by those of a copy. Later revisions and leases are given out
+// again. The leases of the copy last for their time to live from now on.
+func (s *Store) Restore(from *Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.nextLease, s.items = from.revision, from.nextLease, maps.Clone(from.items)
+	s.history, s.compacted = nil, s.revision
+	s.leases = map[int64]*lease{}
+	for id, l := range from.leases {
+		s.leases[id] = &lease{ttl: l.ttl, expires: time.Now().Add(l.ttl)}
+	}
+	s.notifyWatches()
+}
+
+// Revision returns the revision of the latest change.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -171,21 +220,46 @@
 	faults := s.faults
 	s.mu.Unlock()
 	time.Sleep(faults.Slow)
+	write := r.Method != http.MethodGet
 	switch {
 	case faults.Mute:
 		<-r.Context().Done()
 		return
 	case faults.Down:
+		s.mu.Lock()
+		setEra(w, s.era)
+		s.mu.Unlock()
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case write && faults.Late > 0:
+		s.handleLate(r, faults.Late)
+		panic(http.ErrAbortHandler)
 	}
-	status, body := s.handle(r)
-	if faults.Lose && r.Method != http.MethodGet {
+	status, body, era := s.handle(r)
+	if faults.Lose && write {
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(faults.SlowReply)
+	setEra(w, era)
 	writeJSON(w, status, body)
 }
 
+// setEra sets the header that tells how often the store was restored.
+func setEra(w http.ResponseWriter, era int64) {
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+}
+
+// handleLate executes a call after a delay.
+func (s *Store) handleLate(r *http.Request, delay time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	late := r.Clone(context.Background())
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(delay, func() { s.handle(late) })
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -194,7 +268,8 @@
 	}
 }
 
-func (s *Store) handle(r *http.Request) (int, any) {
+// handle executes a call and returns the era in which it was executed.
+func (s *Store) handle(r *http.Request) (status int, body any, era int64) {
 	path, id := strings.TrimPrefix(r.URL.Path, "/api/"), int64(0)
 	if name, number, ok := strings.Cut(path, "/"); ok {
 		path = name
@@ -206,6 +281,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	status, body = s.execute(r, path, id)
+	return status, body, s.era
+}
+
+// execute executes a call other than a watch. The caller holds the lock.
+func (s *Store) execute(r *http.Request, path string, id int64) (int, any) {
 	switch path {
 	case "kv-key":
 		return s.get(r.URL.Query().Get("key"))
@@ -316,12 +397,12 @@
 // expiryCheckInterval is the interval at which a watch checks for expired leases.
 const expiryCheckInterval = 50 * time.Millisecond
 
-func (s *Store) watch(r *http.Request) (int, any) {
+func (s *Store) watch(r *http.Request) (status int, body any, era int64) {
 	query := r.URL.Query()
 	after, errAfter := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, errWait := strconv.ParseInt(query.Get("waitMs"), 10, 64)
 	if errAfter != nil || errWait != nil {
-		return http.StatusBadRequest, nil
+		return http.StatusBadRequest, nil, 0
 	}
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
@@ -331,16 +412,17 @@
 		s.mu.Lock()
 		s.expire()
 		events, revision, compacted, changed := s.since(query.Get("pathPrefix"), after)
+		era = s.era
 		s.mu.Unlock()
 		switch {
 		case compacted:
-			return http.StatusGone, nil
+			return http.StatusGone, nil, era
 		case len(events) > 0 || timedOut:
-			return http.StatusOK, map[string]any{"events": events, "storeRevision": revision}
+			return http.StatusOK, map[string]any{"events": events, "storeRevision": revision}, era
 		}
 		select {
 		case <-r.Context().Done():
-			return http.StatusServiceUnavailable, nil
+			return http.StatusServiceUnavailable, nil, era
 		case <-deadline.C:
 			timedOut = true
 		case <-changed:
@@ -353,7 +435,7 @@
 // closed at the next change. compacted means that the history no longer has them.
 func (s *Store) since(prefix string, after int64) (events []item, revision int64, compacted bool, changed chan struct{}) {
 	events = []item{}
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, 0, true, nil
 	}
 	for _, change := range s.history {
