--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,9 @@
 	// ErrCompacted means that the store can't report the changes after the watch's
 	// revision. List the keys again and watch from the revision of the list.
 	ErrCompacted = errors.New("store revision compacted")
+	// ErrRestored means that the call refers to revisions from before a restore of the
+	// store from an older copy. It had no effect.
+	ErrRestored = errors.New("store restored from an older copy")
 )
 
 // KeyValue is one stored entry.
