--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -60,6 +61,10 @@
 	// Wake ends the wait before the next campaign early, for example when a
 	// watch reports that the duty's key was deleted. Nil means never.
 	Wake <-chan struct{}
+	// Generation returns the generation of the store, which rises when the store is restored
+	// from an older copy. The leases and claims of earlier generations are gone then. Tokens
+	// must rise from one generation to the next. Nil means that the store isn't restored.
+	Generation func() int64
 	// OnChange is called when the daemon gets or loses the duty. It must not block.
 	OnChange func(held bool, token int64)
 }
@@ -73,6 +78,9 @@
 	token        int64     // 0 if the duty isn't held
 	deadline     time.Time // with monotonic reading, if the clock has one
 	highestToken int64     // highest token of any holder that was read from the store
+	generation   int64     // of the store, when the token was acquired or at the last check
+	claimsFrom   time.Time // until then a holder of an earlier generation may be valid
+	claims       string    // prefix of the values of all claims
 }
 
 // New returns a Holder that doesn't hold the duty until Run acquires it.
@@ -89,7 +97,10 @@
 	if config.Candidate == nil {
 		config.Candidate = func() bool { return true }
 	}
-	return &Holder{config: config}
+	if config.Generation == nil {
+		config.Generation = func() int64 { return 0 }
+	}
+	return &Holder{config: config, claims: config.DaemonID + " " + uuid.NewString()}
 }
 
 // Valid reports whether the daemon holds the duty now. Check it immediately
@@ -102,12 +113,35 @@
 func (h *Holder) Token() int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.token == 0 || !h.before(h.deadline) {
+	if h.token == 0 || h.generation != h.config.Generation() || !h.before(h.deadline) {
 		return 0
 	}
 	return h.token
 }
 
+// checkGeneration notices a restore of the store. The validity of a holder in the earlier
+// generation ends within the time to live, as it can't be renewed. Only that holder knows
+// that there is no other one, and may claim the duty before. It reports whether this was the
+// holder.
+func (h *Holder) checkGeneration(ctx context.Context) (held bool) {
+	generation := h.config.Generation()
+	h.mu.Lock()
+	earlier, token := h.generation, h.token
+	if generation <= earlier {
+		h.mu.Unlock()
+		return false
+	}
+	h.claimsFrom = time.Time{}
+	if held = token != 0 && h.before(h.deadline); earlier != 0 && !held {
+		h.claimsFrom = h.config.Clock.Now().Add(h.config.TTL)
+	}
+	h.generation, h.token = generation, 0
+	h.mu.Unlock()
+	h.reportLoss(token, "store restored")
+	h.endLease(ctx, "")
+	return held
+}
+
 // before reports whether the deadline is still ahead by both the monotonic and
 // the wall clock, because the monotonic clock stops while a virtual machine is
 // suspended.
@@ -152,8 +186,12 @@
 	wait := rand.N(h.config.TTL / 4)
 	for h.sleep(ctx, wait) {
 		renewed := true
+		h.checkGeneration(ctx)
 		if h.Valid() {
 			renewed = h.renew(ctx)
+			if h.checkGeneration(ctx) {
+				h.campaign(ctx)
+			}
 		} else {
 			h.endLease(ctx, "lease deadline passed")
 			h.campaign(ctx)
@@ -221,7 +259,9 @@
 	sent := h.config.Clock.Now()
 	ttl, err := h.config.Backend.KeepAlive(callCtx, id)
 	if errors.Is(err, ErrExpired) {
-		h.endLease(ctx, "lease expired in the store")
+		if h.Valid() {
+			h.endLease(ctx, "lease expired in the store")
+		}
 		return true
 	}
 	if err != nil {
@@ -281,10 +321,15 @@
 	if err != nil {
 		return
 	}
-	if entry.Revision != 0 {
+	h.checkGeneration(ctx)
+	if entry.Revision != 0 && !h.isOwnClaim(entry) {
 		h.recordToken(entry.Revision)
 		return
 	}
+	if h.before(h.claimsFrom) {
+		return
+	}
+	generation := h.config.Generation()
 	sent := h.config.Clock.Now()
 	id, err := h.config.Backend.Grant(ctx, h.config.TTL)
 	if err != nil {
@@ -294,21 +339,28 @@
 	h.mu.Lock()
 	h.lease = id
 	h.mu.Unlock()
-	token, err := h.claim(ctx, id)
+	token, err := h.claim(ctx, id, entry.Revision)
 	if err != nil {
 		h.config.Logger.Info("campaign failed", "duty", h.config.Duty, "error", err)
 		h.endLease(ctx, "campaign failed")
 		return
 	}
-	h.setHeld(token, deadlineFrom(sent, h.config.TTL))
+	h.setHeld(token, generation, deadlineFrom(sent, h.config.TTL))
+}
+
+// isOwnClaim reports whether the duty's key holds a claim of this Holder that it has given
+// up: one that a restore of the store has brought back, or that was executed late. Its lease
+// may be another's by now, so that it wouldn't expire.
+func (h *Holder) isOwnClaim(entry Entry) bool {
+	return strings.HasPrefix(string(entry.Value), h.claims)
 }
 
-// claim writes the duty's key and returns the fencing token. If the reply is
-// lost, it reads the key to find out whether the write took effect: the value is
+// claim writes the duty's key, which has a revision, and returns the fencing token. If the
+// reply is lost, it reads the key to find out whether the write took effect: the value is
 // unique to this attempt.
-func (h *Holder) claim(ctx context.Context, id int64) (int64, error) {
-	value := []byte(h.config.DaemonID + " " + uuid.NewString())
-	entry, swapped, err := h.config.Backend.CompareAndSwap(ctx, h.config.Key, 0, value, id)
+func (h *Holder) claim(ctx context.Context, id, revision int64) (int64, error) {
+	value := []byte(h.claims + " " + uuid.NewString())
+	entry, swapped, err := h.config.Backend.CompareAndSwap(ctx, h.config.Key, revision, value, id)
 	if errors.Is(err, ErrOutcomeUnknown) {
 		entry, err = h.readBack(ctx)
 		swapped = err == nil && string(entry.Value) == string(value)
@@ -356,9 +408,9 @@
 	return true
 }
 
-func (h *Holder) setHeld(token int64, deadline time.Time) {
+func (h *Holder) setHeld(token, generation int64, deadline time.Time) {
 	h.mu.Lock()
-	h.token, h.deadline = token, deadline
+	h.token, h.generation, h.deadline = token, generation, deadline
 	h.mu.Unlock()
 	h.config.Logger.Info("duty acquired", "duty", h.config.Duty, "token", token)
 	if h.config.OnChange != nil {
--- a/pkg/lease/holder_test.go
+++ b/pkg/lease/holder_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,10 +35,33 @@
 	unavailable bool
 	grants      int
 	lastRenewal time.Time // when the last renewal was handled
+	generation  int64     // rises at each restore
 }
 
 func newFakeStore(clock clockwork.Clock) *fakeStore {
-	return &fakeStore{clock: clock, leases: make(map[int64]time.Time)}
+	return &fakeStore{clock: clock, leases: make(map[int64]time.Time), generation: 1}
+}
+
+// restore brings the store back from an older copy, with the entry of the copy and its lease.
+// Revisions of a later generation are higher, as the adapter of the store has to see to.
+func (m *fakeStore) restore(entry lease.Entry, owner int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.generation++
+	m.revision = m.generation * 1_000_000
+	clear(m.leases)
+	m.entry = lease.Entry{}
+	if entry.Revision != 0 {
+		m.entry, m.owner = lease.Entry{Value: entry.Value, Revision: m.revision}, owner
+		m.leases[owner] = m.clock.Now().Add(m.ttl)
+	}
+}
+
+// snapshot returns the entry and its lease.
+func (m *fakeStore) snapshot() (entry lease.Entry, owner int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry, m.owner
 }
 
 func (m *fakeStore) expire() {
@@ -62,6 +86,7 @@
 	*fakeStore
 	paused         sync.RWMutex
 	renewalReplies sync.RWMutex // held for writing while replies to renewals are delayed
+	generation     atomic.Int64 // of the store, as of the last call
 }
 
 func (c *client) enter(ctx context.Context) (func(), error) {
@@ -73,6 +98,7 @@
 		return nil, errors.New("unavailable")
 	}
 	c.expire()
+	c.generation.Store(c.fakeStore.generation)
 	return c.mu.Unlock, nil
 }
 
@@ -184,7 +210,7 @@
 		holder := lease.New(lease.Config{
 			Backend: access, Clock: c.clock, Duty: "placement", Key: "k", DaemonID: fmt.Sprint(i),
 			Candidate: func() bool { return candidate == nil || candidate(i) },
-			Logger:    slog.New(slog.DiscardHandler),
+			Logger:    slog.New(slog.DiscardHandler), Generation: access.generation.Load,
 		})
 		c.clients, c.holders = append(c.clients, access), append(c.holders, holder)
 		running.Go(func() { _ = holder.Run(ctx) })
@@ -343,6 +369,85 @@
 	})
 }
 
+// Guards against a holder that is cut off while the store is restored from a copy without its
+// claim, and still valid when another daemon gets the duty.
+func TestNewHolderWaitsForThatOfTheEarlierGeneration(t *testing.T) {
+	c := newElection(2, nil)
+	defer c.stop()
+	c.waitUntil(t, time.Minute, c.held)
+	c.advance(t, 20*time.Second)
+	first := c.current()
+	c.pause(first, true)
+	c.store.restore(lease.Entry{}, 0)
+	c.waitUntil(t, time.Minute, func() bool { return c.holders[1-first].Valid() }) // checks that one is valid
+	c.pause(first, false)
+	c.advance(t, 10*time.Second)
+}
+
+// Guards against a duty without a holder for a whole lease time although the daemon that held
+// it when the store was restored reaches the store.
+func TestHolderClaimsAgainAfterARestore(t *testing.T) {
+	for name, kept := range map[string]bool{"claim lost": false, "claim in the copy": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newElection(2, nil)
+			defer c.stop()
+			c.waitUntil(t, time.Minute, c.held)
+			c.advance(t, 20*time.Second)
+			first := c.current()
+			before := c.holders[first].Token()
+			entry, owner := c.store.snapshot()
+			if !kept {
+				entry = lease.Entry{}
+			}
+			c.store.restore(entry, owner)
+			c.waitUntil(t, lease.DefaultTTL*3/4, func() bool { return c.holders[first].Token() > before })
+		})
+	}
+}
+
+// Guards against two valid holders and tokens that don't rise, when the store is restored
+// from older copies while daemons are cut off, replies are lost and the store is away.
+func TestOneHolderAtATimeAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newElection(3, nil)
+		defer c.stop()
+		c.waitUntil(t, time.Minute, c.held)
+		c.advance(t, 20*time.Second)
+		entry, owner := c.store.snapshot()
+		for range rapid.IntRange(1, 15).Draw(t, "actions") {
+			i := rapid.IntRange(0, 2).Draw(t, "holder")
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				c.pause(i, !c.pauses[i])
+			case 1:
+				c.store.mu.Lock()
+				c.store.unavailable = !c.store.unavailable
+				c.store.mu.Unlock()
+			case 2:
+				c.store.mu.Lock()
+				c.store.lostReplies = 1
+				c.store.mu.Unlock()
+			case 3:
+				c.holders[i].Abandon()
+			case 4:
+				entry, owner = c.store.snapshot()
+			case 5:
+				c.store.restore(entry, owner)
+			case 6:
+				c.store.restore(lease.Entry{}, 0)
+			}
+			c.advance(t, time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds"))*time.Second)
+		}
+		c.store.mu.Lock()
+		c.store.unavailable = false
+		c.store.mu.Unlock()
+		for i := range c.holders {
+			c.pause(i, false)
+		}
+		c.waitUntil(t, time.Minute, c.held)
+	})
+}
+
 // Guards against an overload of the store by campaigns of all 420 daemons instead
 // of the candidates only.
 func TestOnlyCandidatesCampaign(t *testing.T) {
