Lease: don't lose a duty to a jump of the time of day

Cause: the holder compared its deadline with the wall clock, in case the machine was suspended. A jump forward ended its validity; the tenure after it granted the quota's slack again. Change: the edge daemon's deadlines of duties are on the boot clock, which counts suspensions and doesn't jump.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -181,7 +181,7 @@
 	d.holder = lease.New(lease.Config{
 		Backend: store.LeaseBackend{Store: p.Store}, Clock: d.clock, Logger: log, Duty: "coordinator", Key: dutyKey,
 		DaemonID: holderID(s.Name, s.CoordinatorAddress), TTL: max(s.Bounds.Lease, minLeaseTTL), Candidate: d.mayCampaign,
-		Wake: d.link.vacated, Generation: func() int64 { return store.CurrentGeneration(p.Store) },
+		Wake: d.link.vacated, BootTime: bootclock.Now, Generation: func() int64 { return store.CurrentGeneration(p.Store) },
 	})
 	d.splitter = rollout.NewSplitter()
 	d.splitter.Serving = d.instances.Versions
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -65,6 +65,10 @@
 	// from an older copy. The leases and claims of earlier generations are gone then. Tokens
 	// must rise from one generation to the next. Nil means that the store isn't restored.
 	Generation func() int64
+	// BootTime returns the time since a fixed moment, including suspensions of the machine.
+	// Nil means that of Clock, by its monotonic and its wall clock: a jump of the wall clock
+	// then ends the holder's validity.
+	BootTime func() time.Duration
 	// OnChange is called when the daemon gets or loses the duty. It must not block.
 	OnChange func(held bool, token int64)
 }
@@ -133,7 +137,7 @@
 	}
 	h.claimsFrom = time.Time{}
 	if held = token != 0 && h.before(h.deadline); earlier != 0 && !held {
-		h.claimsFrom = h.config.Clock.Now().Add(h.config.TTL)
+		h.claimsFrom = h.now().Add(h.config.TTL)
 	}
 	h.generation, h.token = generation, 0
 	h.mu.Unlock()
@@ -142,11 +146,19 @@
 	return held
 }
 
+// now returns the time for deadlines.
+func (h *Holder) now() time.Time {
+	if h.config.BootTime == nil {
+		return h.config.Clock.Now()
+	}
+	return time.Unix(0, int64(h.config.BootTime()))
+}
+
 // before reports whether the deadline is still ahead by both the monotonic and
 // the wall clock, because the monotonic clock stops while a virtual machine is
 // suspended.
 func (h *Holder) before(deadline time.Time) bool {
-	now := h.config.Clock.Now()
+	now := h.now()
 	return now.Before(deadline) && now.Round(0).Before(deadline.Round(0))
 }
 
@@ -256,7 +268,7 @@
 	h.mu.Lock()
 	id := h.lease
 	h.mu.Unlock()
-	sent := h.config.Clock.Now()
+	sent := h.now()
 	ttl, err := h.config.Backend.KeepAlive(callCtx, id)
 	if errors.Is(err, ErrExpired) {
 		if h.Valid() {
@@ -330,7 +342,7 @@
 		return
 	}
 	generation := h.config.Generation()
-	sent := h.config.Clock.Now()
+	sent := h.now()
 	id, err := h.config.Backend.Grant(ctx, h.config.TTL)
 	if err != nil {
 		h.config.Logger.Warn("lease not granted", "duty", h.config.Duty, "error", err)
