Mirror: keep what is known until a restored store is written again

Seen by callers after a restore of the store from a copy some seconds old: requests went to an instance that had left, a leaving one got requests again, and orders of the operators were undone until they had been written again.

Cause: with the generation above the revisions, every entry of the restored copy is higher than what a daemon knows, so that the older contents won.

A list or delta of a later generation is now reconciled with the copy. For 2.3 s from the first answer of the new generation (Contact, shared by both mirrors), entries that are missing stay, and entries that differ, or that were seen deleted, are withheld, unless they were written after the first answer or their contents show that they are newer (version of the configuration; start and write counter of an instance). After that the store is listed again if anything is withheld. Entries whose owners write often (instances, daemons) are withheld until written or removed: such an owner has written by then, or is gone. The duty's key counts at once. A delta of a generation before the latest one known isn't applied. Delayed removals due to a restore keep their delay at followers. A copy that came into a generation through another daemon is listed before its next poll.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -207,12 +207,13 @@
 	d.state.fleet = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, MaxPollWait: func() time.Duration { return fleetPollWait }, PollPause: d.currentFleetPollPause, Now: bootclock.Now,
 		Contact: contact, DelayRemoval: d.state.mayExpireInOutage, OnChanges: d.state.apply, MaxValueBytes: maxFleetValueBytes,
+		Newer: d.platform.Reader.Newer, Unreconciled: func(key string) bool { return key == dutyKey },
 		Backoff: d.storeBackoff, HoldOff: func() bool { return d.state.operator.Failing() },
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, MaxPollWait: d.currentConfigPollWait, PollPause: func() time.Duration { return configPollPause }, Now: bootclock.Now,
 		Contact: contact, OnConnectivityChange: d.state.fleet.InterruptPoll, OnChanges: d.state.apply, Backoff: d.storeBackoff,
-		PauseAfterList: true,
+		PauseAfterList: true, Newer: d.platform.Reader.Newer,
 	})
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -36,6 +36,9 @@
 	// EvacuatedDataCentre returns the data centre that the entry with the key orders to be
 	// emptied, or false if the key is not one of such an order.
 	EvacuatedDataCentre(key string) (string, bool)
+	// Newer reports whether the contents of two entries of an instance or of the
+	// configuration show that the second one was written after the first one.
+	Newer(key string, first, second []byte) bool
 	// Instance decodes an instance's entry.
 	Instance(id string, value []byte) (fleet.Description, error)
 }
--- a/internal/mirror/contact.go
+++ b/internal/mirror/contact.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
 // Contact records when the store answered. The mirrors of a daemon share one, because the
@@ -13,6 +15,50 @@
 	failedAt   time.Duration // latest failed call of this daemon
 	gapEnd     time.Duration // end of the latest time of expiryTime or more without an answer
 	graceEnd   time.Duration // see removalDue
+
+	// firstRevision is that of the first answer in the latest generation of the store; 0 if
+	// there was none. Entries with a higher one were written after a restore.
+	firstRevision int64
+	settledFrom   time.Duration // see settling
+}
+
+// observe records the revision of an answer of the store, or of the copy of another daemon.
+// It reports whether this is the first answer since a restore of the store.
+func (c *Contact) observe(revision int64, now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.firstRevision != 0 && store.Generation(revision) <= store.Generation(c.firstRevision) {
+		return false
+	}
+	restored := c.firstRevision != 0
+	if restored {
+		c.settledFrom = now + expiryGrace
+	}
+	c.firstRevision = revision
+	return restored
+}
+
+// settling returns until when the store may lack what its owners wrote before a restore, and
+// true if that is ahead.
+func (c *Contact) settling(now time.Duration) (until time.Duration, settling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settledFrom, now < c.settledFrom
+}
+
+// generation returns the latest generation of the store that is known.
+func (c *Contact) generation() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return store.Generation(c.firstRevision)
+}
+
+// writtenSince reports whether an entry of this revision was written after the first answer
+// since the latest restore.
+func (c *Contact) writtenSince(revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return revision > c.firstRevision
 }
 
 // answered records that the store answered this daemon or another one at the times from
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -194,21 +194,30 @@
 // at which that mirror was known to be current, requestedAt the time of the request
 // for the delta. An entry is never replaced by an older one. It returns false if this copy
 // may then still have entries that were deleted: it isn't current, and the next request
-// should have no digest.
+// should have no digest. A delta of an earlier generation of the store isn't applied.
 func (m *Mirror) ApplyDelta(delta Delta, currentAt, requestedAt time.Duration) bool {
-	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
 	var changes []Change
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
+	if store.Generation(delta.Cursor.Revision) < m.config.Contact.generation() {
+		m.mu.Unlock()
+		return false
+	}
+	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
+	deletedBefore := m.beginGeneration(delta.Cursor.Revision)
 	for _, kv := range delta.Entries {
 		// An entry of a revision that this copy includes, and does not have, was deleted.
 		if _, present := m.items[kv.Key]; !present && kv.ModRevision <= m.revision {
 			continue
 		}
+		if m.withhold(kv, deletedBefore) {
+			continue
+		}
 		changes = m.put(changes, kv)
 	}
 	for _, key := range delta.Deleted {
+		m.accept(key, delta.Cursor.Revision)
 		changes = m.removeRelayed(changes, key, delta.Cursor.Revision)
 	}
 	if delta.Whole {
@@ -216,13 +225,20 @@
 		for _, key := range delta.Keys {
 			present[key] = true
 		}
-		for key := range m.items {
-			if !present[key] {
+		for key, kv := range m.items {
+			switch {
+			case present[key] || kv.ModRevision > delta.Cursor.Revision:
+			case store.Generation(kv.ModRevision) < store.Generation(delta.Cursor.Revision):
+				changes = m.removeUnlisted(changes, kv, delta.Cursor.Revision)
+			default:
 				changes = m.removeRelayed(changes, key, delta.Cursor.Revision)
 			}
 		}
 	}
 	changes = m.applyPending(changes, delta.Pending)
+	if deletedBefore != nil {
+		m.logReconciled(delta.Cursor.Revision)
+	}
 	complete := delta.Digest == 0 || delta.Digest == m.digest
 	if complete {
 		m.revision = max(m.revision, delta.Cursor.Revision)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -99,6 +99,12 @@
 	// DelayRemoval reports whether the removal of a key is delayed if an outage of
 	// the store may have caused it.
 	DelayRemoval func(key string) bool
+	// Newer reports whether the contents of a restored entry show that it was written after
+	// the known one. Nil means that they never do.
+	Newer func(key string, known, restored []byte) bool
+	// Unreconciled reports whether the contents of the store count at once for a key, also
+	// just after a restore. Nil means never.
+	Unreconciled func(key string) bool
 	// OnConnectivityChange is called when a call to the store fails, and when the
 	// first call after a failure succeeds: polls that were sent in between may never
 	// be answered. It must not block.
@@ -130,7 +136,10 @@
 	items           map[string]store.KeyValue
 	digest          uint64 // of items
 	pendingRemovals map[string]pendingRemoval
+	withheld        map[string]int64 // revisions of listed entries that are not in the copy; see withhold
 	revision        int64
+	// listedGeneration is the generation of the store at the latest list.
+	listedGeneration int64
 
 	// The times are values of Now(); 0 means never.
 	currentAt     atomic.Int64 // latest time at which the copy is known to be current
@@ -156,7 +165,7 @@
 		config.Contact = &Contact{}
 	}
 	return &Mirror{
-		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{},
+		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{}, withheld: map[string]int64{},
 		interrupts: make(chan struct{}, 1),
 	}
 }
@@ -210,6 +219,7 @@
 			m.pause(ctx, relayCheckInterval)
 			continue
 		}
+		listed = listed && !m.needsList()
 		var err error
 		if !listed {
 			err = m.list(ctx)
@@ -290,7 +300,7 @@
 		return err
 	}
 	m.config.Contact.answered(sent, sent, m.config.Now())
-	if known := m.Revision(); revision < known {
+	if known := m.Revision(); revision < known && store.Generation(revision) == store.Generation(known) {
 		metrics.GetOrCreateCounter("rudder_store_regressions_total").Inc()
 		m.config.Log.Error("store revision went back", "prefix", m.config.Prefix, "revision", revision, "known", known)
 	}
@@ -299,16 +309,27 @@
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
+	deleted := m.beginGeneration(revision)
 	for _, kv := range entries {
 		present[kv.Key] = true
-		changes = m.put(changes, kv)
+		if !m.withhold(kv, deleted) {
+			changes = m.put(changes, kv)
+		}
 	}
 	for key, kv := range m.items {
 		if !present[key] && kv.ModRevision <= revision {
-			changes = m.removeOrDelay(changes, key, revision)
+			changes = m.removeUnlisted(changes, kv, revision)
 		}
 	}
-	m.revision = max(m.revision, revision)
+	for key := range m.withheld {
+		if !present[key] {
+			delete(m.withheld, key)
+		}
+	}
+	if deleted != nil {
+		m.logReconciled(revision)
+	}
+	m.revision, m.listedGeneration = max(m.revision, revision), store.Generation(revision)
 	m.mu.Unlock()
 	m.publish(changes)
 	m.setCurrent(sent)
@@ -351,6 +372,7 @@
 	m.mu.Lock()
 	for _, event := range events {
 		if event.Deleted {
+			m.accept(event.Key, event.ModRevision)
 			changes = m.removeOrDelay(changes, event.Key, event.ModRevision)
 		} else {
 			changes = m.put(changes, event.KeyValue)
@@ -433,6 +455,7 @@
 	if old, ok := m.items[kv.Key]; ok && old.ModRevision >= kv.ModRevision {
 		return changes
 	}
+	delete(m.withheld, kv.Key)
 	if limit := m.config.MaxValueBytes; limit > 0 && len(kv.Value) > limit {
 		m.config.Log.Warn("value dropped", "key", kv.Key, "revision", kv.ModRevision, "bytes", len(kv.Value), "limit", limit)
 		kv.Value = nil
--- a/internal/mirror/removals.go
+++ b/internal/mirror/removals.go
@@ -105,7 +105,7 @@
 // applyPending takes over the pending removals of another mirror, and applies those that
 // are due. If a removal is pending here already, the earlier time counts: each mirror has
 // seen the store return by then. If only the other daemon was cut off from the store, they
-// are due at once. The caller holds the lock.
+// are due at once, but not if a restore of the store is the cause. The caller holds the lock.
 func (m *Mirror) applyPending(changes []Change, pending []PendingRemoval) []Change {
 	now := m.config.Now()
 	steady := m.config.Contact.steady(now)
@@ -117,7 +117,7 @@
 		r := pendingRemoval{due: now + p.Delay, revision: p.Revision}
 		known, pending := m.pendingRemovals[p.Key]
 		switch {
-		case steady:
+		case steady && store.Generation(kv.ModRevision) == store.Generation(p.Revision):
 			changes = m.remove(changes, kv, p.Revision)
 		case !pending:
 			m.delayRemoval(p.Key, r)
