Coordinator, readers: forward nothing to daemons that know of a later restore

A coordinator or reader that hasn't seen a restore of the store forwarded its copy to followers that had. They drop such deltas, and would ask for a full one with each report, and get it.

Such a daemon now answers as if it had no contact with the store, so that the follower polls the store itself or calls another reader.

Before the change TestDaemonBehindARestoreIsNotFollowed fails: expected true to be false. After it: go test ./internal/edge -run 'Behind|Follow|Reader' passes; make lint reports 0 issues.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -57,6 +57,13 @@
 	return age, known
 }
 
+// behind reports whether a follower at a position knows of a restore of the store that this
+// daemon hasn't seen, so that it can't use the copy of before.
+func (d *Daemon) behind(position *coordinatorv1.MirrorCursor) bool {
+	own := min(store.Generation(d.state.fleet.Revision()), store.Generation(d.state.operator.Revision()))
+	return store.Generation(position.GetRevision()) > own
+}
+
 // addMirrorDelta adds the state of this daemon's mirrors to its response as
 // coordinator, unless the reporting daemon is this one.
 func (d *Daemon) addMirrorDelta(r *coordinatorv1.ReportRequest, response *coordinatorv1.ReportResponse) {
@@ -64,7 +71,7 @@
 		return
 	}
 	age, current := d.contactAge()
-	if !current {
+	if !current || d.behind(r.Fleet) || d.behind(r.Operator) {
 		return
 	}
 	response.ConfigRevision, response.ConfigAgeNanos = d.state.operator.MaxModRevision(), int64(age)
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -162,6 +162,9 @@
 	if _, current := d.contactAge(); !current {
 		return nil, status.Error(codes.Unavailable, "no contact with the store")
 	}
+	if d.behind(r.Fleet) || d.behind(r.Operator) {
+		return nil, status.Error(codes.Unavailable, "the store was restored")
+	}
 	return &coordinatorv1.FollowResponse{
 		Fleet: d.encodeDelta(d.state.fleet, r.Fleet), Operator: d.encodeDelta(d.state.operator, r.Operator),
 	}, nil
--- a/internal/edge/restoredconfig_test.go
+++ b/internal/edge/restoredconfig_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
 // serving counts the daemons that may send requests to an instance.
@@ -77,3 +80,24 @@
 		return []int{withKey(f.daemons, "op/rollout/taken-back"), withKey(f.daemons, "op/rollout/lost"), withKey(f.daemons, "op/rollout/again")}
 	}, 4*time.Second, 10*time.Millisecond).Should(Equal([]int{5, 0, 5}), "what the store holds counts")
 }
+
+// A follower knows of a restore of the store that the coordinator hasn't seen. Guards
+// against a follower that takes the coordinator's copy of before the restore as current.
+func TestDaemonBehindARestoreIsNotFollowed(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 2)
+	holder := f.coordinator()
+	follower := f.daemons[0]
+	if follower == holder {
+		follower = f.daemons[1]
+	}
+	forwarded := func(generations int64) bool {
+		fleet, operator := follower.mirrorCursors()
+		fleet.Revision = store.InGeneration(store.Generation(fleet.Revision)+generations, store.Local(fleet.Revision))
+		response := &coordinatorv1.ReportResponse{}
+		holder.addMirrorDelta(&coordinatorv1.ReportRequest{Daemon: reportID(follower.members.self), Fleet: fleet, Operator: operator}, response)
+		return response.Fleet != nil
+	}
+	g.Eventually(func() bool { return forwarded(0) }, time.Second, 10*time.Millisecond).Should(BeTrue())
+	g.Expect(forwarded(1)).To(BeFalse())
+}
