Metering: report no window again after a restore of the store

Callers of the cloud would see two usage reports of one window with different counts. After a restore from an older copy the stored plan is that of an earlier window, or missing. The holder reads it under its new token, and any next holder does, and both went on from there with the counts of the moment.

A plan now tells for which generation of the store it was written. One of the present generation is followed as before. Otherwise the holder that had the duty when the store was restored, and knows of no other holder since, goes by its memory and writes the plan again; any other one skips the windows that ended before it acquired the duty. Plans of earlier generations are not sent: they may come from a write that was given up and executed late.

lease.Holder tells the token it had before a restore (Predecessor), unless a generation or a holder lies in between.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -261,7 +261,8 @@
 	})
 	d.reporter = metering.New(metering.Config{
 		Log: d.log, Store: d.platform.Store, Key: usagePlanKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
-		Counts: d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
+		Predecessor: d.holder.Predecessor,
+		Counts:      d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
 	})
 	d.scaler = scaling.New(scaling.Config{
 		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -1,7 +1,8 @@
 // Package metering reports the usage of each time window to the cloud. Only the
 // holder of the coordinator duty reports. It writes the counts to the store
 // before it reports them, so that the next holder repeats an unacknowledged
-// report with the same counts.
+// report with the same counts. If the store may have lost what an earlier holder wrote,
+// the windows that may have been reported are skipped.
 package metering
 
 import (
@@ -50,6 +51,9 @@
 	Cloud cloudduty.Client
 	// Token returns the fencing token of the duty, 0 while it isn't held.
 	Token func() int64
+	// Predecessor returns the token that the holder of the duty had when the store was
+	// restored from an older copy, if nobody else has had it since, and 0 otherwise.
+	Predecessor func() int64
 	// Counts returns the usage of a window by account. known is false until a new
 	// holder of the duty has restored the counts. complete is true once all
 	// daemons have reported since the window's end.
@@ -63,6 +67,9 @@
 type plan struct {
 	Window int64            `json:"window"` // Unix time divided by Config.Window
 	Counts map[string]int64 `json:"counts"` // requests by account
+	// Generation is that of the store for which the plan was written. In later ones, plans
+	// that followed it may be lost.
+	Generation int64 `json:"generation,omitempty"`
 }
 
 // Reporter performs the metering duty.
@@ -70,12 +77,14 @@
 	config Config
 
 	token     int64     // fencing token under which the plan was read; 0 to read it again
+	loaded    int64     // latest fencing token under which the plan was read
 	dutyToken int64     // fencing token of the latest acquisition of the duty
 	acquired  time.Time // wall-clock time of that acquisition
 	plan      plan
 	revision  int64 // of the plan's key in the store
 	pending   bool  // the cloud has not acknowledged the plan yet
 	next      int64 // window to report after that of the plan
+	rewrite   bool  // the store lacks the plan
 }
 
 // New returns a Reporter.
@@ -100,10 +109,15 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if token != r.token {
-		if err := r.loadPlan(ctx); err != nil {
+		if err := r.loadPlan(ctx, token); err != nil || r.token == 0 {
 			return err
 		}
-		r.token = token
+	}
+	if r.rewrite {
+		if err := r.writePlan(ctx, r.plan); err != nil || r.token == 0 {
+			return err
+		}
+		r.rewrite = false
 	}
 	if token != r.dutyToken {
 		r.dutyToken, r.acquired = token, r.config.Civil()
@@ -115,26 +129,48 @@
 }
 
 // loadPlan loads the last plan from the store, and continues after its window.
-// A plan that is not overdue is sent again.
-func (r *Reporter) loadPlan(ctx context.Context) error {
+// A plan that is not overdue is sent again. It leaves r.token 0 if the duty was lost
+// meanwhile.
+func (r *Reporter) loadPlan(ctx context.Context, token int64) error {
 	kv, err := r.config.Store.Get(ctx, r.config.Key)
 	if err != nil {
 		return errors.WithMessage(err, "read usage plan")
 	}
-	r.plan, r.revision, r.pending = plan{}, kv.ModRevision, false
-	current := r.windowOf(r.config.Civil())
-	r.next = current
-	if kv.ModRevision == 0 {
-		return nil
+	var stored plan
+	if kv.ModRevision != 0 {
+		if err := json.Unmarshal(kv.Value, &stored); err != nil {
+			return errors.Wrap(err, "decode usage plan")
+		}
 	}
-	if err := json.Unmarshal(kv.Value, &r.plan); err != nil {
-		return errors.Wrap(err, "decode usage plan")
+	if r.config.Token() != token {
+		return nil // the reply may be of a later generation than the token
+	}
+	r.revision, r.rewrite = kv.ModRevision, false
+	switch {
+	case kv.ModRevision != 0 && stored.Generation == store.Generation(token):
+		r.plan, r.pending, r.next = stored, !r.overdue(stored.Window), stored.Window+1
+	case r.loaded != 0 && (r.loaded == token || r.loaded == r.config.Predecessor()):
+		r.rewrite = r.plan.Window != 0
+	default:
+		r.skipEarlier(stored)
 	}
-	r.next = r.plan.Window + 1
-	r.pending = !r.overdue(r.plan.Window)
+	r.token, r.loaded = token, token
 	return nil
 }
 
+// skipEarlier skips the windows that a holder of an earlier generation may have reported, as
+// it plans a window after its end, and not once it has noticed the restore. The counts it
+// reported are not known: the stored plan may be older, or the write of one that was given
+// up and that was executed late.
+func (r *Reporter) skipEarlier(stored plan) {
+	r.plan, r.pending, r.next = plan{}, false, max(r.windowOf(r.config.Civil()), stored.Window+1)
+	if stored.Window == 0 {
+		return // there was no report, or the copy is from before the first one
+	}
+	metrics.GetOrCreateCounter("rudder_metering_plans_lost_total").Inc()
+	r.config.Log.Warn("usage windows skipped after a restore of the store", "next", r.next, "stored", stored.Window)
+}
+
 func (r *Reporter) windowOf(t time.Time) int64 { return t.UnixNano() / int64(r.config.Window) }
 
 // sinceEnd returns the time since a window ended; it is negative before the end.
@@ -173,7 +209,18 @@
 		return nil
 	}
 	next := plan{Window: r.next, Counts: counts}
-	value, err := json.Marshal(next)
+	if err := r.writePlan(ctx, next); err != nil || r.token == 0 {
+		return err
+	}
+	r.pending, r.next = true, next.Window+1
+	return r.send(ctx, r.token)
+}
+
+// writePlan writes a plan to the store. If that fails, the plan is read again: the write may
+// have taken effect, or another holder has written.
+func (r *Reporter) writePlan(ctx context.Context, p plan) error {
+	p.Generation = store.Generation(r.token)
+	value, err := json.Marshal(p)
 	if err != nil {
 		return errors.Wrap(err, "encode usage plan")
 	}
@@ -181,14 +228,11 @@
 		[]store.Condition{{Key: r.config.Key, ModRevision: r.revision}},
 		[]store.Op{{Key: r.config.Key, Value: value}})
 	if err != nil || !result.Succeeded {
-		// This write may have taken effect, or another holder has written: read
-		// the plan again.
 		r.token = 0
 		return errors.WithMessage(err, "write usage plan")
 	}
-	r.plan, r.revision, r.pending = next, result.Revision, true
-	r.next = next.Window + 1
-	return r.send(ctx, r.token)
+	r.plan, r.revision = p, result.Revision
+	return nil
 }
 
 // send reports the plan to the cloud. The plan stays pending until the cloud
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
@@ -15,14 +16,16 @@
 	store.Store
 
 	mu       sync.Mutex
-	revision int64
+	revision int64 // of the latest change
 	items    map[string]store.KeyValue
 	// loseNextReply makes the next successful transaction return ErrOutcomeUnknown.
 	loseNextReply bool
 }
 
 // NewMemory returns an empty store.
-func NewMemory() *Memory { return &Memory{items: map[string]store.KeyValue{}} }
+func NewMemory() *Memory {
+	return &Memory{revision: store.InGeneration(1, int64(1)), items: map[string]store.KeyValue{}}
+}
 
 // LoseNextReply makes the next write take effect but return ErrOutcomeUnknown, as
 // if its reply were lost.
@@ -39,6 +42,32 @@
 	return m.items[key].Value
 }
 
+// Snapshot is a copy of the contents of a Memory.
+type Snapshot struct {
+	revision int64
+	items    map[string]store.KeyValue
+}
+
+// Snapshot returns a copy of the contents.
+func (m *Memory) Snapshot() Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Snapshot{revision: m.revision, items: maps.Clone(m.items)}
+}
+
+// Restore replaces the contents with a copy. All revisions are of the next generation.
+func (m *Memory) Restore(from Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	generation := store.Generation(m.revision) + 1
+	m.revision = store.InGeneration(generation, store.Local(from.revision))
+	m.items = map[string]store.KeyValue{}
+	for key, kv := range from.items {
+		kv.ModRevision = store.InGeneration(generation, store.Local(kv.ModRevision))
+		m.items[key] = kv
+	}
+}
+
 // Get implements store.Store.
 func (m *Memory) Get(_ context.Context, key string) (store.KeyValue, error) {
 	m.mu.Lock()
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -80,6 +80,8 @@
 	highestToken int64     // highest token of any holder that was read from the store
 	generation   int64     // of the store, when the token was acquired or at the last check
 	claimsFrom   time.Time // until then a holder of an earlier generation may be valid
+	inherited    int64     // token that was valid at the last restore, if no other holder is known since; 0 if none
+	predecessor  int64     // value of inherited when the token was acquired
 	claims       string    // prefix of the values of all claims
 }
 
@@ -119,6 +121,14 @@
 	return h.token
 }
 
+// Predecessor returns the token that this Holder had when the store was restored, if its
+// present token is the first one since. Nobody else had the duty then. It is 0 otherwise.
+func (h *Holder) Predecessor() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.predecessor
+}
+
 // checkGeneration notices a restore of the store. The validity of a holder in the earlier
 // generation ends within the time to live, as it can't be renewed. Only that holder knows
 // that there is no other one, and may claim the duty before. It reports whether this was the
@@ -131,10 +141,13 @@
 		h.mu.Unlock()
 		return false
 	}
-	h.claimsFrom = time.Time{}
+	h.claimsFrom, h.inherited = time.Time{}, 0
 	if held = token != 0 && h.before(h.deadline); earlier != 0 && !held {
 		h.claimsFrom = h.config.Clock.Now().Add(h.config.TTL)
 	}
+	if held && generation == earlier+1 { // else others may have had the duty in between
+		h.inherited = token
+	}
 	h.generation, h.token = generation, 0
 	h.mu.Unlock()
 	h.reportLoss(token, "store restored")
@@ -323,7 +336,7 @@
 	}
 	h.checkGeneration(ctx)
 	if entry.Revision != 0 && !h.isOwnClaim(entry) {
-		h.recordToken(entry.Revision)
+		h.recordOther(entry.Revision)
 		return
 	}
 	if h.before(h.claimsFrom) {
@@ -369,7 +382,7 @@
 		return 0, errors.Wrap(err, "claim duty")
 	}
 	if !swapped {
-		h.recordToken(entry.Revision)
+		h.recordOther(entry.Revision)
 		return 0, errors.New("another daemon holds the duty")
 	}
 	if !h.recordToken(entry.Revision) {
@@ -408,9 +421,18 @@
 	return true
 }
 
+// recordOther records the token of another holder.
+func (h *Holder) recordOther(token int64) {
+	h.recordToken(token)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.inherited = 0
+}
+
 func (h *Holder) setHeld(token, generation int64, deadline time.Time) {
 	h.mu.Lock()
 	h.token, h.generation, h.deadline = token, generation, deadline
+	h.predecessor, h.inherited = h.inherited, 0
 	h.mu.Unlock()
 	h.config.Logger.Info("duty acquired", "duty", h.config.Duty, "token", token)
 	if h.config.OnChange != nil {
--- a/pkg/lease/holder_test.go
+++ b/pkg/lease/holder_test.go
@@ -401,10 +401,32 @@
 			}
 			c.store.restore(entry, owner)
 			c.waitUntil(t, lease.DefaultTTL*3/4, func() bool { return c.holders[first].Token() > before })
+			if got := c.holders[first].Predecessor(); got != before {
+				t.Errorf("predecessor is %d, want %d", got, before)
+			}
 		})
 	}
 }
 
+// Guards against a holder that takes what it did before a restore for all that was done:
+// another one had the duty in a generation in between, or since.
+func TestPredecessorIsKnownOnlyToTheSuccessorOfItself(t *testing.T) {
+	c := newElection(2, nil)
+	defer c.stop()
+	c.waitUntil(t, time.Minute, c.held)
+	first := c.current()
+	other := 1 - first
+	c.pause(first, true)
+	c.waitUntil(t, time.Minute, func() bool { return c.holders[other].Valid() })
+	c.store.restore(lease.Entry{}, 0)
+	c.pause(first, false)
+	c.pause(other, true)
+	c.waitUntil(t, time.Minute, func() bool { return c.holders[first].Valid() })
+	if got := c.holders[first].Predecessor(); got != 0 {
+		t.Errorf("predecessor is %d, want none", got)
+	}
+}
+
 // Guards against two valid holders and tokens that don't rise, when the store is restored
 // from older copies while daemons are cut off, replies are lost and the store is away.
 func TestOneHolderAtATimeAcrossRestores(t *testing.T) {
