Roll-outs: keep the outcome of an order across a restore of the store

Operators would see a roll-out that was complete or reverted become active again, and reverted versions would get requests once more, after the store was restored from a copy without the outcome. Orders were identified by their store revision. One that is written again after a restore has another revision, so that it was a new order to the coordinator; and daemons that had it under the revision before didn't follow a coordinator that had it under the later one.

Orders of different generations of the store are now one order if service, target and time limit agree; records have the time limit. A holder that had the duty through the restore continues with its share, evidence and start, and writes the record and the status again that the store lacks. Another holder takes an outcome that its daemon knows from the coordinator or the mirror. A coordinator that has just started and whose store lacks the outcome still begins anew; daemons that know the outcome don't follow it in that.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -188,7 +188,7 @@
 	d.rollouts = rollout.New(rollout.Config{
 		Log: log, Store: p.Store, Token: d.holder.Token, Civil: d.civil.Now, Policy: rollout.DefaultPolicy(),
 		Evidence: d.fleetEvidence, Unproven: d.splitter.Unproven, Serving: d.instances.Versions,
-		Status: p.Reader.RolloutStatus,
+		Status: p.Reader.RolloutStatus, Predecessor: d.holder.Predecessor, Known: d.splitter.State,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.limitCount, OnChange: d.logQuarantine})
--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,9 +28,16 @@
 
 // Config holds the parameters of a Duty.
 type Config struct {
-	Log    *slog.Logger
-	Store  store.Store
-	Token  func() int64     // fencing token, 0 while the duty isn't held
+	Log   *slog.Logger
+	Store store.Store
+	Token func() int64 // fencing token, 0 while the duty isn't held
+	// Predecessor returns the token that the holder of the duty had when the store was
+	// restored from an older copy, if nobody else has had it since, and 0 otherwise; nil means
+	// that the store isn't restored.
+	Predecessor func() int64
+	// Known returns the newest state of a roll-out of a service that this daemon knows, nil if
+	// there is none. A restored store may lack it; nil means that nothing is known.
+	Known  func(service string) *State
 	Civil  func() time.Time // wall-clock time
 	Policy Policy
 	// Unproven returns the versions of a service that were ordered before its current
@@ -50,7 +58,8 @@
 	Service  string  `json:"service"`
 	Revision int64   `json:"revision"` // of the order
 	Target   string  `json:"target"`
-	Start    int64   `json:"start_ms"` // Unix time
+	WithinMs int64   `json:"within_ms,omitempty"` // of the order
+	Start    int64   `json:"start_ms"`            // Unix time
 	Outcome  Outcome `json:"outcome"`
 	// Unproven are the versions that were ordered earlier and not completed. They get no
 	// requests.
@@ -60,6 +69,11 @@
 	Sole bool `json:"sole,omitempty"`
 }
 
+// order returns the order that the record is of.
+func (r record) order() Order {
+	return Order{Service: r.Service, Target: r.Target, Within: time.Duration(r.WithinMs) * time.Millisecond, Revision: r.Revision}
+}
+
 // initialShare returns the fraction of requests for the target with which a new
 // holder of the duty starts. For an active roll-out it is 0: each holder
 // collects its own evidence.
@@ -76,8 +90,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return State{}, errors.Wrap(err, "decode roll-out record")
 	}
-	order := Order{Service: r.Service, Target: r.Target, Revision: r.Revision}
-	return State{Order: order, Share: r.initialShare(), Outcome: r.Outcome, Unproven: r.Unproven}, nil
+	return State{Order: r.order(), Share: r.initialShare(), Outcome: r.Outcome, Unproven: r.Unproven}, nil
 }
 
 // State is the state of a roll-out that the coordinator sends to all daemons.
@@ -97,6 +110,10 @@
 	orders  map[string]Order           // by service
 	token   int64                      // fencing token under which tracked was collected
 	tracked map[string]*trackedRollout // by service
+	// retained are roll-outs that the holder with the token retainedToken controlled, and whose
+	// latest record may not be in the store.
+	retained      map[string]*trackedRollout
+	retainedToken int64
 }
 
 // trackedRollout is a roll-out that this holder of the duty controls or has ended.
@@ -136,7 +153,7 @@
 		return false
 	}
 	r := d.tracked[service]
-	return r == nil || r.record.Revision != order.Revision || r.record.Outcome == Active
+	return r == nil || !order.same(r.record.order()) || r.record.Outcome == Active
 }
 
 // States returns the roll-outs that this holder of the duty controls or has ended.
@@ -146,7 +163,7 @@
 	var states []State
 	for service, r := range d.tracked {
 		order := d.orders[service]
-		if order.Revision == r.record.Revision {
+		if order.same(r.record.order()) {
 			states = append(states, State{Order: order, Share: r.share, Outcome: r.record.Outcome, Unproven: r.record.Unproven})
 		}
 	}
@@ -167,9 +184,7 @@
 func (d *Duty) Step(ctx context.Context) error {
 	token := d.config.Token()
 	d.mu.Lock()
-	if token != d.token {
-		d.token, d.tracked = token, map[string]*trackedRollout{}
-	}
+	d.setToken(token)
 	orders := make([]Order, 0, len(d.orders))
 	for _, o := range d.orders {
 		orders = append(orders, o)
@@ -187,13 +202,38 @@
 	return failed
 }
 
+// setToken sets the fencing token. Roll-outs of an earlier token are used again only if
+// nobody else can have controlled them meanwhile. The caller holds the lock.
+func (d *Duty) setToken(token int64) {
+	if token == d.token {
+		return
+	}
+	if d.token != 0 {
+		if d.retainedToken != d.token {
+			d.retained, d.retainedToken = map[string]*trackedRollout{}, d.token
+		}
+		maps.Copy(d.retained, d.tracked)
+	}
+	d.token, d.tracked = token, map[string]*trackedRollout{}
+	if token == 0 {
+		return
+	}
+	if d.config.Predecessor == nil || d.config.Predecessor() != d.retainedToken {
+		d.retained = nil
+	}
+	d.retainedToken = token
+	if d.retained == nil {
+		d.retained = map[string]*trackedRollout{}
+	}
+}
+
 // advance checks the evidence on one roll-out, and ends it or changes its share.
 // The share never decreases before the end.
 func (d *Duty) advance(ctx context.Context, order Order) error {
 	d.mu.Lock()
 	r := d.tracked[order.Service]
 	d.mu.Unlock()
-	if r == nil || r.record.Revision != order.Revision {
+	if r == nil || !order.same(r.record.order()) {
 		return d.begin(ctx, order)
 	}
 	if r.record.Outcome != Active {
@@ -238,11 +278,17 @@
 		}
 		r.share = r.record.initialShare()
 	}
-	if r.record.Revision != order.Revision {
-		r.record = record{
-			Service: order.Service, Revision: order.Revision, Target: order.Target, Start: d.config.Civil().UnixMilli(), Outcome: Active,
-			Unproven: d.unproven(order, r.record),
+	isStored := order.same(r.record.order())
+	if earlier := d.recall(order, r); earlier != nil {
+		if !isStored || earlier.record.Outcome != r.record.Outcome {
+			if err := d.write(ctx, order, earlier); err != nil {
+				return err
+			}
+			d.config.Log.Info("roll-out record written again", "service", order.Service, "target", order.Target, "outcome", earlier.record.Outcome)
 		}
+		r = earlier
+	} else if !isStored {
+		r.record = newRecord(order, Active, d.unproven(order, r.record), d.config.Civil())
 		r.record.Sole = d.config.Serving != nil && noneProven(d.config.Serving(order.Service), order.Target, r.record.Unproven)
 		r.share = r.record.initialShare()
 		r.initial = d.config.Evidence()
@@ -258,6 +304,45 @@
 	return nil
 }
 
+func newRecord(order Order, outcome Outcome, unproven []string, start time.Time) record {
+	return record{
+		Service: order.Service, Revision: order.Revision, Target: order.Target, WithinMs: order.Within.Milliseconds(),
+		Start: start.UnixMilli(), Outcome: outcome, Unproven: unproven,
+	}
+}
+
+// recall returns what this daemon knows of a roll-out beyond the record in the store: an
+// outcome, or the evidence and the share of one that it controlled. It is nil if there is
+// nothing. The store may have been restored from an older copy.
+func (d *Duty) recall(order Order, stored *trackedRollout) *trackedRollout {
+	isStored := order.same(stored.record.order())
+	if isStored && stored.record.Outcome != Active {
+		return nil
+	}
+	d.mu.Lock()
+	retained := d.retained[order.Service]
+	d.mu.Unlock()
+	if retained != nil && order.same(retained.record.order()) {
+		recalled := *retained
+		recalled.recordRevision, recalled.record.Revision = stored.recordRevision, order.Revision
+		return &recalled
+	}
+	if d.config.Known == nil {
+		return nil
+	}
+	known := d.config.Known(order.Service)
+	if known == nil || !order.same(known.Order) || known.Outcome == Active {
+		return nil
+	}
+	recalled := &trackedRollout{record: stored.record, recordRevision: stored.recordRevision}
+	if !isStored {
+		recalled.record = newRecord(order, known.Outcome, known.Unproven, d.config.Civil())
+	}
+	recalled.record.Outcome = known.Outcome
+	recalled.share = recalled.record.initialShare()
+	return recalled
+}
+
 // maxUnproven is the maximum number of unproven versions of a service that are recorded.
 const maxUnproven = 16
 
@@ -295,6 +380,9 @@
 	ended := &trackedRollout{record: r.record, recordRevision: r.recordRevision, share: r.share}
 	ended.record.Outcome = outcome
 	if err := d.write(ctx, order, ended); err != nil {
+		d.mu.Lock()
+		d.retained[order.Service] = r
+		d.mu.Unlock()
 		return err
 	}
 	d.config.Log.Info("roll-out ended", "service", order.Service, "target", order.Target, "outcome", outcome, "reason", reason)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
 // Order is an operator's request to move a service's requests to a version.
@@ -18,6 +20,23 @@
 	Revision int64         // of the order's entry in the store
 }
 
+// same reports whether both are one order. After a restore of the store, an order that was
+// lost is written again and has another revision. Within is compared if both are known.
+func (o Order) same(other Order) bool {
+	switch {
+	case o.Service != other.Service || o.Target != other.Target:
+		return false
+	case o.Revision == other.Revision:
+		return true
+	case store.Generation(o.Revision) == store.Generation(other.Revision):
+		return false
+	}
+	return o.Within == 0 || other.Within == 0 || o.Within == other.Within
+}
+
+// precedes reports whether o is an earlier order than other.
+func (o Order) precedes(other Order) bool { return o.Revision < other.Revision && !o.same(other) }
+
 // Outcome is the result of a roll-out, or Active while it has none.
 type Outcome string
 
--- a/internal/rollout/splitter.go
+++ b/internal/rollout/splitter.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -47,10 +48,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.service(o.Service)
-	if p.order != nil && p.order.Revision == o.Revision {
-		return
+	if p.order == nil || !p.order.same(o) {
+		p.supersede()
 	}
-	p.supersede()
 	p.order = &o
 }
 
@@ -66,7 +66,7 @@
 // supersede remembers the target of the current order. Until its outcome is known, it
 // gets no requests but as a target.
 func (p *split) supersede() {
-	if p.order != nil && (p.state == nil || p.state.Order.Revision < p.order.Revision) {
+	if p.order != nil && (p.state == nil || p.state.Order.precedes(*p.order)) {
 		p.superseded[p.order.Revision] = p.order.Target
 	}
 }
@@ -85,19 +85,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.service(state.Order.Service)
-	if state.Outcome == Active && p.state != nil && p.state.Order.Revision == state.Order.Revision {
+	if state.Outcome == Active && p.state != nil && p.state.Order.same(state.Order) {
 		return
 	}
 	p.setState(state)
 }
 
 func (p *split) setState(state State) {
+	if p.order != nil && p.order.Revision == state.Order.Revision {
+		state.Order.Within = p.order.Within
+	}
 	if old := p.state; old != nil {
-		if state.Order.Revision < old.Order.Revision {
+		if state.Order.precedes(old.Order) {
 			return
 		}
-		if old.Order.Revision == state.Order.Revision && old.Outcome != Active && state.Outcome == Active {
-			return
+		if old.Order.same(state.Order) {
+			if old.Outcome != Active && state.Outcome == Active {
+				return
+			}
+			state.Order.Revision = max(state.Order.Revision, old.Order.Revision)
+			state.Order.Within = cmp.Or(state.Order.Within, old.Order.Within)
 		}
 	}
 	p.state = &state
@@ -108,6 +115,17 @@
 	}
 }
 
+// State returns the newest known state of a roll-out of a service, nil if there is none.
+func (s *Splitter) State(service string) *State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.services[service]; p != nil && p.state != nil {
+		state := *p.state
+		return &state
+	}
+	return nil
+}
+
 // Unproven returns the versions of a service that were ordered before its current order
 // and not completed, as far as this daemon knows.
 func (s *Splitter) Unproven(service string) []string {
@@ -123,7 +141,7 @@
 	var versions []string
 	if p.state != nil {
 		versions = slices.Clone(p.state.Unproven)
-		if p.state.Outcome != Complete && (p.order == nil || p.state.Order.Revision < p.order.Revision) {
+		if p.state.Outcome != Complete && (p.order == nil || p.state.Order.precedes(*p.order)) {
 			versions = append(versions, p.state.Order.Target)
 		}
 	}
@@ -153,7 +171,7 @@
 	}
 	share := 0.0
 	switch {
-	case state != nil && state.Order.Revision == order.Revision:
+	case state != nil && state.Order.same(*order):
 		if state.Outcome != Reverted {
 			share = state.Share
 		}
