--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -188,7 +188,7 @@
 	d.rollouts = rollout.New(rollout.Config{
 		Log: log, Store: p.Store, Token: d.holder.Token, Civil: d.civil.Now, Policy: rollout.DefaultPolicy(),
 		Evidence: d.fleetEvidence, Unproven: d.splitter.Unproven, Serving: d.instances.Versions,
-		Status: p.Reader.RolloutStatus,
+		Status: p.Reader.RolloutStatus, Predecessor: d.holder.Predecessor, Known: d.splitter.State,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.limitCount, OnChange: d.logQuarantine})
@@ -238,7 +238,7 @@
 func (d *Daemon) buildCoordination() {
 	s := d.settings
 	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
-		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
+		Log: d.log, Token: d.holder.Token, Predecessor: d.holder.Predecessor, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
 		KnownDaemons:   d.members.limitCount,
 		AddMirrorDelta: d.addMirrorDelta,
 		Members:        d.members.reportIDs, Civil: d.civil.Now,
@@ -262,7 +262,8 @@
 	})
 	d.reporter = metering.New(metering.Config{
 		Log: d.log, Store: d.platform.Store, Key: usagePlanKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
-		Counts: d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
+		Predecessor: d.holder.Predecessor,
+		Counts:      d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
 	})
 	d.scaler = scaling.New(scaling.Config{
 		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
