--- a/internal/rollout/restore_test.go
+++ b/internal/rollout/restore_test.go
@@ -121,7 +121,7 @@
 		r.step(t, 200)
 	}
 	share := r.share()
-	g.Expect(share).To(BeNumerically(">", 0)
+	g.Expect(share).To(BeNumerically(">", 0))
 	r.restore(t, copied, true)
 	r.step(t, 200)
 	g.Expect(r.share()).To(BeNumerically(">=", share))
