--- /dev/null
+++ b/internal/uplink/monitor.go
@@ -0,0 +1,176 @@
+// Package uplink finds out whether a daemon has lost its links to all instances, while the
+// instances themselves may be well.
+package uplink
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
+)
+
+const (
+	// sampleSize is the number of instances that are examined at a time.
+	sampleSize = 5
+	// resultLifetime is the time from the start of an examination for which its result is
+	// used again.
+	resultLifetime = 400 * time.Millisecond
+	// recheckInterval is the pause between two examinations while the links are lost.
+	recheckInterval = 500 * time.Millisecond
+)
+
+// Config holds the parameters of a Monitor.
+type Config struct {
+	Log *slog.Logger
+	Now func() time.Duration // monotonic, includes time in suspension
+	// Connect connects to an instance directly and closes the connection.
+	Connect func(ctx context.Context, address string) error
+	// Sample returns the addresses of up to n instances of different services.
+	Sample func(n int) []string
+	// OnChange is called when the links are lost, and when they are restored. It must not
+	// block; nil means nothing.
+	OnChange func(lost bool)
+}
+
+// Monitor tracks whether instances can be reached. It examines them only after a
+// connection to one has failed. It is safe for concurrent use.
+type Monitor struct {
+	config Config
+	lost   atomic.Bool
+	// hanging tells that connections to instances got no answer when the links were lost.
+	hanging atomic.Bool
+
+	mu          sync.Mutex
+	connected   time.Duration // start of the latest attempt to connect that succeeded
+	examination *examination  // the latest one; nil if there was none
+}
+
+// examination is an attempt to connect to some instances.
+type examination struct {
+	began   time.Duration
+	done    chan struct{} // closed when reached is known
+	reached bool
+	tried   int
+	refused int
+}
+
+// New returns a monitor that assumes that instances can be reached.
+func New(config Config) *Monitor { return &Monitor{config: config} }
+
+// Lost reports whether no instance can be reached.
+func (m *Monitor) Lost() bool { return m.lost.Load() }
+
+// Hanging reports whether connections to instances get no answer, so that those made
+// before are probably unusable too.
+func (m *Monitor) Hanging() bool { return m.lost.Load() && m.hanging.Load() }
+
+// Connected records that an attempt to connect to an instance, begun at a time, succeeded.
+func (m *Monitor) Connected(began time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.connected = max(m.connected, began)
+}
+
+// Confirm reports whether the links are lost, after an attempt to connect to an instance,
+// begun at a time, has failed. It waits for an examination unless other attempts show it.
+func (m *Monitor) Confirm(ctx context.Context, began time.Duration) bool {
+	if m.lost.Load() {
+		return true
+	}
+	e := m.examine(began)
+	if e == nil {
+		return false
+	}
+	select {
+	case <-e.done:
+		return !e.reached
+	case <-ctx.Done():
+		return m.lost.Load()
+	}
+}
+
+// examine returns the examination that applies to a failure, or nil if a later attempt to
+// connect has succeeded.
+func (m *Monitor) examine(began time.Duration) *examination {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.config.Now()
+	if m.connected > began {
+		return nil
+	}
+	if e := m.examination; e != nil && now-e.began < resultLifetime {
+		return e
+	}
+	m.examination = &examination{began: now, done: make(chan struct{})}
+	go m.run(m.examination)
+	return m.examination
+}
+
+// run carries out an examination. If it reaches no instance, the links are lost until
+// another one does.
+func (m *Monitor) run(e *examination) {
+	m.try(e)
+	if !e.reached {
+		m.hanging.Store(e.refused < e.tried)
+		if m.lost.CompareAndSwap(false, true) {
+			m.config.Log.Warn("links to instances lost", "tried", e.tried, "refused", e.refused)
+			m.changed(true)
+			go m.awaitRestoration(e.began)
+		}
+	}
+	close(e.done)
+}
+
+func (m *Monitor) changed(lost bool) {
+	if m.config.OnChange != nil {
+		m.config.OnChange(lost)
+	}
+}
+
+// awaitRestoration examines instances until one is reached.
+func (m *Monitor) awaitRestoration(since time.Duration) {
+	for {
+		time.Sleep(recheckInterval)
+		e := &examination{began: m.config.Now()}
+		if m.try(e); !e.reached {
+			m.hanging.Store(e.refused < e.tried)
+			continue
+		}
+		m.Connected(e.began)
+		m.mu.Lock()
+		m.examination = nil
+		m.mu.Unlock()
+		m.lost.Store(false)
+		m.config.Log.Info("links to instances restored", "age", m.config.Now()-since)
+		m.changed(false)
+		return
+	}
+}
+
+// try connects to a sample of the instances at once. It returns when one is reached, or
+// when none is.
+func (m *Monitor) try(e *examination) {
+	addresses := m.config.Sample(sampleSize)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- m.config.Connect(ctx, address) }()
+	}
+	e.tried = len(addresses)
+	for range addresses {
+		err := <-results
+		if err == nil {
+			e.reached = true
+			return
+		}
+		if errors.Is(err, exchange.ErrRefused) {
+			e.refused++
+		}
+	}
+}
