Log and count when a daemon reaches no instance

A daemon that had lost its links to all instances couldn't be told from one whose instances were all down: each log line names one instance. After a failed connection that no later one refutes, the daemon now connects to up to five instances of different services, at most once in 0.4 s, and logs the loss if it reaches none. While the links are lost it tries twice a second, and logs when they are back. The gauge rudder_instance_links_lost shows the same. Requests aren't handled differently.

Checked: internal/uplink, internal/exchange, internal/edge, make lint.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,7 +20,6 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
-	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/metering"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
@@ -30,6 +29,7 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/uplink"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/homes"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
@@ -123,6 +123,7 @@
 	crashWatch  *crashwatch.Watch
 	crashGuard  *crashguard.Guard
 	speeds      *speed.Learner
+	links       *uplink.Monitor
 	relay       *relay.Relay
 	// requestMemory and replyMemory limit what the relay buffers.
 	requestMemory, replyMemory *relay.MemoryBudget
@@ -272,9 +273,7 @@
 
 func (d *Daemon) buildRelay() {
 	s := d.settings
-	pool := exchange.NewPool(exchange.Config{
-		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: instanceIdleTimeout,
-	})
+	pool := d.buildPool()
 	d.instances.OnRemove = pool.CloseIdle
 	d.crashWatch = crashwatch.New(crashwatch.Config{
 		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Serving: d.instances.Serving,
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -30,6 +30,7 @@
 		`rudder_daemons`:                                     func() float64 { return float64(d.members.count()) },
 		`rudder_relay_buffered_bytes{kind="request bodies"}`: func() float64 { return float64(d.requestMemory.Used()) },
 		`rudder_relay_buffered_bytes{kind="replies"}`:        func() float64 { return float64(d.replyMemory.Used()) },
+		`rudder_instance_links_lost`:                         func() float64 { return gaugeOf(d.links.Lost()) },
 		`rudder_evacuated_data_centres`:                      func() float64 { return float64(d.evacuations.count()) },
 	} {
 		metrics.GetOrCreateGauge(name, value)
--- a/internal/edge/logtable_test.go
+++ b/internal/edge/logtable_test.go
@@ -16,7 +16,7 @@
 
 // loggingPackages are the packages whose log lines the edge daemon writes.
 var loggingPackages = []string{
-	".", "../relay", "../exchange", "../mirror", "../fleet", "../crashwatch", "../coordination", "../metering", "../scaling",
+	".", "../relay", "../exchange", "../mirror", "../fleet", "../crashwatch", "../uplink", "../coordination", "../metering", "../scaling",
 	"../rollout", "../traffic", "../decisionlog", "../cloudduty", "../../platform", "../../pkg/lease",
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 )
 
 // Config holds the parameters of a Pool.
@@ -18,6 +17,8 @@
 	AckTimeout time.Duration
 	// IdleTimeout is the maximum time that an idle connection is kept.
 	IdleTimeout time.Duration
+	// Links is told of the attempts to connect; nil means none.
+	Links Links
 }
 
 // idleMargin is how long before the idle timeout announced by the upstream a
@@ -53,7 +54,7 @@
 		_ = c.Close()
 	}
 	metrics.GetOrCreateCounter("rudder_upstream_connections_total").Inc()
-	return dial(ctx, peer.Address, p.config.DialTimeout, p.config.AckTimeout)
+	return p.connect(ctx, peer.Address)
 }
 
 func (p *Pool) reusable(c *conn) bool {
@@ -102,13 +103,3 @@
 		_ = c.Close()
 	}
 }
-
-// Reachable connects to address and closes the connection. It returns nil if the
-// instance accepted it, and an error that wraps ErrNotSent otherwise.
-func (p *Pool) Reachable(ctx context.Context, address string) error {
-	c, err := dial(ctx, address, p.config.DialTimeout, p.config.AckTimeout)
-	if err != nil {
-		return err
-	}
-	return errors.Wrap(c.Close(), "close connection")
-}
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -159,3 +160,35 @@
 	}
 	return versions
 }
+
+// Sample returns the addresses of up to n random instances that are expected to serve, of
+// as many services as possible.
+func (s *Set) Sample(n int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	services := make([][]*Instance, 0, len(s.byService))
+	for _, list := range s.byService { // in random order
+		services = append(services, list)
+	}
+	var addresses []string
+	for tries := 0; tries < 4 && len(addresses) < n; tries++ {
+		for _, list := range services {
+			if len(list) == 0 || len(addresses) == n {
+				continue
+			}
+			i := list[rand.N(len(list))]
+			if !i.Leaving && !i.displaced && !slices.Contains(addresses, i.Address) {
+				addresses = append(addresses, i.Address)
+			}
+		}
+	}
+	return addresses
+}
+
+// Owns reports whether an announced instance has the address.
+func (s *Set) Owns(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, owned := s.addresses[address]
+	return owned
+}
--- a/internal/uplink/monitor.go
+++ b/internal/uplink/monitor.go
@@ -27,7 +27,6 @@
 // Config holds the parameters of a Monitor.
 type Config struct {
 	Log *slog.Logger
-	Now func() time.Duration // monotonic, includes time in suspension
 	// Connect connects to an instance directly and closes the connection.
 	Connect func(ctx context.Context, address string) error
 	// Sample returns the addresses of up to n instances of different services.
@@ -46,13 +45,13 @@
 	hanging atomic.Bool
 
 	mu          sync.Mutex
-	connected   time.Duration // start of the latest attempt to connect that succeeded
-	examination *examination  // the latest one; nil if there was none
+	connected   time.Time    // start of the latest attempt to connect that succeeded
+	examination *examination // the latest one; nil if there was none
 }
 
 // examination is an attempt to connect to some instances.
 type examination struct {
-	began   time.Duration
+	began   time.Time
 	done    chan struct{} // closed when reached is known
 	reached bool
 	tried   int
@@ -70,40 +69,32 @@
 func (m *Monitor) Hanging() bool { return m.lost.Load() && m.hanging.Load() }
 
 // Connected records that an attempt to connect to an instance, begun at a time, succeeded.
-func (m *Monitor) Connected(began time.Duration) {
+func (m *Monitor) Connected(began time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.connected = max(m.connected, began)
+	if began.After(m.connected) {
+		m.connected = began
+	}
 }
 
-// Confirm reports whether the links are lost, after an attempt to connect to an instance,
-// begun at a time, has failed. It waits for an examination unless other attempts show it.
-func (m *Monitor) Confirm(ctx context.Context, began time.Duration) bool {
-	if m.lost.Load() {
-		return true
-	}
-	e := m.examine(began)
-	if e == nil {
-		return false
-	}
-	select {
-	case <-e.done:
-		return !e.reached
-	case <-ctx.Done():
-		return m.lost.Load()
+// Failed records an attempt to connect to an instance, begun at a time, that failed.
+// Instances are examined unless other attempts show that some can be reached.
+func (m *Monitor) Failed(began time.Time) {
+	if !m.lost.Load() {
+		m.examine(began)
 	}
 }
 
 // examine returns the examination that applies to a failure, or nil if a later attempt to
 // connect has succeeded.
-func (m *Monitor) examine(began time.Duration) *examination {
+func (m *Monitor) examine(began time.Time) *examination {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.config.Now()
-	if m.connected > began {
+	now := time.Now()
+	if m.connected.After(began) {
 		return nil
 	}
-	if e := m.examination; e != nil && now-e.began < resultLifetime {
+	if e := m.examination; e != nil && now.Sub(e.began) < resultLifetime {
 		return e
 	}
 	m.examination = &examination{began: now, done: make(chan struct{})}
@@ -114,8 +105,12 @@
 // run carries out an examination. If it reaches no instance, the links are lost until
 // another one does.
 func (m *Monitor) run(e *examination) {
-	m.try(e)
-	if !e.reached {
+	if m.try(e); m.connectedSince(e.began) {
+		e.reached = true
+	}
+	if e.reached {
+		m.Connected(e.began)
+	} else {
 		m.hanging.Store(e.refused < e.tried)
 		if m.lost.CompareAndSwap(false, true) {
 			m.config.Log.Warn("links to instances lost", "tried", e.tried, "refused", e.refused)
@@ -126,6 +121,13 @@
 	close(e.done)
 }
 
+// connectedSince reports whether an attempt to connect that began after a time succeeded.
+func (m *Monitor) connectedSince(began time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.connected.After(began)
+}
+
 func (m *Monitor) changed(lost bool) {
 	if m.config.OnChange != nil {
 		m.config.OnChange(lost)
@@ -133,10 +135,10 @@
 }
 
 // awaitRestoration examines instances until one is reached.
-func (m *Monitor) awaitRestoration(since time.Duration) {
+func (m *Monitor) awaitRestoration(since time.Time) {
 	for {
 		time.Sleep(recheckInterval)
-		e := &examination{began: m.config.Now()}
+		e := &examination{began: time.Now()}
 		if m.try(e); !e.reached {
 			m.hanging.Store(e.refused < e.tried)
 			continue
@@ -146,7 +148,7 @@
 		m.examination = nil
 		m.mu.Unlock()
 		m.lost.Store(false)
-		m.config.Log.Info("links to instances restored", "age", m.config.Now()-since)
+		m.config.Log.Info("links to instances restored", "age", time.Since(since))
 		m.changed(false)
 		return
 	}
