--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -124,7 +125,9 @@
 	crashGuard  *crashguard.Guard
 	speeds      *speed.Learner
 	links       *uplink.Monitor
-	relay       *relay.Relay
+	// dialInstance connects to an instance directly.
+	dialInstance func(ctx context.Context, address string) (net.Conn, error)
+	relay        *relay.Relay
 	// requestMemory and replyMemory limit what the relay buffers.
 	requestMemory, replyMemory *relay.MemoryBudget
 	civil                      *bootclock.Civil
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -19,7 +19,7 @@
 // connect connects to an instance.
 func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	began := time.Now()
-	c, err := dial(ctx, address, p.config.DialTimeout, p.config.AckTimeout)
+	c, err := p.direct(ctx, address)
 	switch links := p.config.Links; {
 	case links == nil:
 	case err == nil:
@@ -30,6 +30,18 @@
 	return c, err
 }
 
+// direct connects to an instance over this daemon's own links.
+func (p *Pool) direct(ctx context.Context, address string) (*conn, error) {
+	if p.config.Dial == nil {
+		return dial(ctx, address, p.config.DialTimeout, p.config.AckTimeout)
+	}
+	c, err := p.config.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
 // Dial connects to an address without a pool, with the timeouts of the configuration.
 func Dial(ctx context.Context, address string, config Config) (net.Conn, error) {
 	c, err := dial(ctx, address, config.DialTimeout, config.AckTimeout)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	AckTimeout time.Duration
 	// IdleTimeout is the maximum time that an idle connection is kept.
 	IdleTimeout time.Duration
+	// Dial connects to an instance; nil means Dial of this package. Its errors wrap
+	// ErrNotSent.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Links is told of the attempts to connect; nil means none.
 	Links Links
 }
