--- a/test/standin/platform/store.go
+++ b/test/standin/platform/store.go
@@ -59,10 +59,13 @@
 	calls     int
 }
 
+// firstLease makes lease IDs as large as a store may give out.
+const firstLease = 1 << 62
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		changed: make(chan struct{}), era: 1, revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, nextLease: 100,
+		changed: make(chan struct{}), era: 1, revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, nextLease: firstLease,
 	}
 }
 
