Take no lost link of the daemon for the crash of an instance

What callers saw: requests with parts of prompts that no instance had crashed on could be refused. Cause: a daemon whose links were lost examined instances at which requests had broken off over these links, and recorded them as crashed; the attempts that didn't reach an instance lowered its health. Change: an attempt without links and without a tunnel ends with ErrLinksLost, which tells nothing about the instance: no crash, no refusal of its machine, no failure for its health. The examination of a crash has time for the way through another daemon. Where there is no other instance to try, links don't count as lost, so that the crash of an only instance is still seen. Result: TestOnlyInstancesThatAcceptNoConnectionCrashed/out_of_reach fails without the change and passes with it.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -11,14 +11,17 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
 const (
 	// probeTimeout bounds the connection attempt that tells whether an instance is alive.
-	probeTimeout = 300 * time.Millisecond
+	// It leaves time for a way through another daemon if this one has lost its links.
+	probeTimeout = time.Second
 	// crashRetention is how long a crash applies to further requests that break off at the same
 	// incarnation of an instance.
 	crashRetention = time.Second
@@ -34,7 +37,8 @@
 type Config struct {
 	Log *slog.Logger
 	Now func() time.Duration // monotonic, includes time in suspension
-	// Connect returns an error if the instance at address accepts no connection.
+	// Connect returns an error if the instance at address accepts no connection. One that
+	// wraps exchange.ErrLinksLost tells nothing about the instance.
 	Connect func(ctx context.Context, address string) error
 	// Serving reports whether the instance is expected to serve. One that announced its
 	// end doesn't crash.
@@ -75,7 +79,8 @@
 
 // Reasons.
 const (
-	// Unknown means that the instance had announced its end, or that it was not examined.
+	// Unknown means that the instance had announced its end, that it was not examined, or
+	// that this daemon has lost its links to all instances.
 	Unknown Reason = iota
 	// Alive means that the instance accepts connections: only the request failed.
 	Alive
@@ -155,7 +160,7 @@
 		}
 	}
 	i := w.investigations[key]
-	if i == nil || i.isDone() && i.reason == Alive {
+	if i == nil || i.isDone() && i.reason != Crashed {
 		if len(w.investigations) >= maxInvestigations {
 			return unexamined
 		}
@@ -180,9 +185,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(i.done)
-	if err == nil {
+	switch {
+	case err == nil:
 		i.reason = Alive
-	} else {
+	case errors.Is(err, exchange.ErrLinksLost):
+		i.reason = Unknown
+	default:
 		i.reason = Crashed
 		if w.config.OnCrash != nil {
 			w.config.OnCrash(instance, err)
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -10,12 +10,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 )
 
-// Guards against failed requests, and the planned end of an instance, being taken for a
-// crash, and against requests of a crash that are left out.
+// Guards against failed requests, the planned end of an instance, and lost links of the
+// daemon being taken for a crash, and against requests of a crash that are left out.
 func TestOnlyInstancesThatAcceptNoConnectionCrashed(t *testing.T) {
 	for name, c := range map[string]struct {
 		connect error
@@ -25,6 +26,8 @@
 		"alive":   {nil, true, 0},
 		"crashed": {errors.New("connection refused"), true, 3},
 		"leaving": {errors.New("connection refused"), false, 0},
+		// The daemon's links to all instances are lost.
+		"out of reach": {errors.Wrap(exchange.ErrLinksLost, "connect"), true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -284,4 +284,11 @@
 	for _, w := range f.workers {
 		g.Expect(w.Runs()).To(BeEmpty())
 	}
+	for _, link := range f.links {
+		link.end()
+	}
+	g.Eventually(f.daemons[0].links.Lost, 2*time.Second, 20*time.Millisecond).Should(BeFalse())
+	served, others = f.sendAll(t.Context(), 0, 3)
+	g.Expect(others).To(BeEmpty(), "instances are in use at once")
+	g.Expect(served).To(HaveLen(len(paths)))
 }
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -8,6 +8,10 @@
 	"github.com/pkg/errors"
 )
 
+// ErrLinksLost is returned when this daemon has lost its links to all instances and no other
+// daemon gave a connection. It tells nothing about the instance. It wraps ErrNotSent.
+var ErrLinksLost = errors.WithMessage(ErrNotSent, "links to instances lost")
+
 // Links knows whether this daemon can reach instances.
 type Links interface {
 	// Lost reports whether no instance can be reached.
@@ -16,9 +20,9 @@
 	Hanging() bool
 	// Connected records an attempt to connect, begun at a time, that succeeded.
 	Connected(began time.Time)
-	// Confirm reports whether the links are lost, after an attempt to connect, begun at a
-	// time, has failed.
-	Confirm(ctx context.Context, began time.Time) bool
+	// Confirm reports whether the links are lost, after an attempt to connect to address,
+	// begun at a time, has failed.
+	Confirm(ctx context.Context, address string, began time.Time) bool
 }
 
 // detour is a connection to an instance through another daemon.
@@ -31,13 +35,11 @@
 	if links == nil {
 		return p.direct(ctx, address)
 	}
-	var indirectErr error
 	if links.Lost() {
 		c, err := p.indirect(ctx, address)
-		if err == nil || errors.Is(err, ErrRefused) {
+		if err == nil || !errors.Is(err, ErrLinksLost) {
 			return c, err
 		}
-		indirectErr = err
 	}
 	began := time.Now()
 	c, err := p.direct(ctx, address)
@@ -45,10 +47,10 @@
 		links.Connected(began)
 		return c, nil
 	}
-	if indirectErr != nil {
-		return nil, errors.WithMessage(err, indirectErr.Error())
-	}
-	if ctx.Err() != nil || !links.Confirm(ctx, began) {
+	switch {
+	case links.Lost():
+		return nil, errors.Wrapf(ErrLinksLost, "%v", err)
+	case ctx.Err() != nil || !links.Confirm(ctx, address, began):
 		return nil, err
 	}
 	return p.indirect(ctx, address)
@@ -69,7 +71,7 @@
 // indirect connects to an instance through another daemon.
 func (p *Pool) indirect(ctx context.Context, address string) (*conn, error) {
 	if p.config.Detour == nil {
-		return nil, ErrNotSent
+		return nil, ErrLinksLost
 	}
 	c, err := p.config.Detour(ctx, address)
 	if err != nil {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -24,7 +24,7 @@
 	// Links knows whether instances can be reached; nil means that they can.
 	Links Links
 	// Detour connects to an instance through another daemon; nil means that none does so.
-	// Its errors wrap ErrNotSent.
+	// Its errors wrap ErrNotSent, and ErrLinksLost if no daemon gave a connection.
 	Detour func(ctx context.Context, address string) (*net.TCPConn, error)
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -330,6 +330,9 @@
 	if outcome, ended := q.contextOutcome(ctx, reservation); ended {
 		return outcome, err.Error()
 	}
+	if errors.Is(err, exchange.ErrLinksLost) {
+		return unsent, err.Error()
+	}
 	if notSent {
 		reservation.Observe(true, 0, 0)
 		if errors.Is(err, exchange.ErrRefused) {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -59,8 +59,9 @@
 	errUnknown     = errors.New("daemon doesn't know the instance")
 )
 
-// Dial connects to an instance through another daemon. Its errors wrap exchange.ErrNotSent,
-// and exchange.ErrRefused if the machine of the instance refused the connection.
+// Dial connects to an instance through another daemon. Its errors wrap exchange.ErrNotSent;
+// exchange.ErrRefused if the machine of the instance refused the connection, and
+// exchange.ErrLinksLost if no daemon gave a tunnel.
 func (c *Client) Dial(ctx context.Context, address string) (*net.TCPConn, error) {
 	candidates := c.candidates()
 	last := errors.New("no daemon to ask")
@@ -85,7 +86,7 @@
 		}
 	}
 	count("unavailable")
-	return nil, errors.Wrapf(exchange.ErrNotSent, "tunnel: %v", last)
+	return nil, errors.Wrapf(exchange.ErrLinksLost, "tunnel: %v", last)
 }
 
 func count(end string) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -135,7 +135,7 @@
 	case err == nil:
 		s.config.Links.Connected(began)
 		return instance, http.StatusOK
-	case s.config.Links.Confirm(ctx, began):
+	case s.config.Links.Confirm(ctx, address, began):
 		return nil, http.StatusServiceUnavailable
 	case errors.Is(err, exchange.ErrRefused):
 		return nil, http.StatusBadGateway
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -19,10 +19,10 @@
 // fixedLinks are links in a fixed state.
 type fixedLinks struct{ lost bool }
 
-func (l fixedLinks) Lost() bool                              { return l.lost }
-func (l fixedLinks) Hanging() bool                           { return l.lost }
-func (l fixedLinks) Connected(time.Time)                     {}
-func (l fixedLinks) Confirm(context.Context, time.Time) bool { return l.lost }
+func (l fixedLinks) Lost() bool                                      { return l.lost }
+func (l fixedLinks) Hanging() bool                                   { return l.lost }
+func (l fixedLinks) Connected(time.Time)                             {}
+func (l fixedLinks) Confirm(context.Context, string, time.Time) bool { return l.lost }
 
 func dialTCP(ctx context.Context, address string) (*net.TCPConn, error) {
 	return exchange.Dial(ctx, address, exchange.Config{DialTimeout: 300 * time.Millisecond, AckTimeout: time.Second})
--- a/internal/uplink/monitor.go
+++ b/internal/uplink/monitor.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,8 +55,9 @@
 	began   time.Time
 	done    chan struct{} // closed when reached is known
 	reached bool
-	tried   int
 	refused int
+	// addresses are those of the instances that are tried.
+	addresses []string
 }
 
 // New returns a monitor that assumes that instances can be reached.
@@ -77,14 +79,14 @@
 	}
 }
 
-// Confirm reports whether the links are lost, after an attempt to connect to an instance,
-// begun at a time, has failed. It examines other instances and waits for the result, unless
-// a later attempt shows it.
-func (m *Monitor) Confirm(ctx context.Context, began time.Time) bool {
+// Confirm reports whether the links are lost, after an attempt to connect to the instance at
+// address, begun at a time, has failed. It examines other instances and waits for the result,
+// unless a later attempt shows it. Without other instances, the links don't count as lost.
+func (m *Monitor) Confirm(ctx context.Context, address string, began time.Time) bool {
 	if m.lost.Load() {
 		return true
 	}
-	e := m.examine(began)
+	e := m.examine(address, began)
 	if e == nil {
 		return false
 	}
@@ -98,7 +100,7 @@
 
 // examine returns the examination that applies to a failure, or nil if a later attempt to
 // connect has succeeded.
-func (m *Monitor) examine(began time.Time) *examination {
+func (m *Monitor) examine(address string, began time.Time) *examination {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -108,7 +110,11 @@
 	if e := m.examination; e != nil && now.Sub(e.began) < resultLifetime {
 		return e
 	}
-	m.examination = &examination{began: now, done: make(chan struct{})}
+	others := slices.DeleteFunc(m.config.Sample(sampleSize+1), func(other string) bool { return other == address })
+	if len(others) == 0 {
+		return nil
+	}
+	m.examination = &examination{began: now, addresses: others[:min(len(others), sampleSize)], done: make(chan struct{})}
 	go m.run(m.examination)
 	return m.examination
 }
@@ -122,9 +128,9 @@
 	if e.reached {
 		m.Connected(e.began)
 	} else {
-		m.hanging.Store(e.refused < e.tried)
+		m.hanging.Store(e.refused < len(e.addresses))
 		if m.lost.CompareAndSwap(false, true) {
-			m.config.Log.Warn("links to instances lost", "tried", e.tried, "refused", e.refused)
+			m.config.Log.Warn("links to instances lost", "tried", len(e.addresses), "refused", e.refused)
 			m.changed(true)
 			go m.awaitRestoration(e.began)
 		}
@@ -149,9 +155,9 @@
 func (m *Monitor) awaitRestoration(since time.Time) {
 	for {
 		time.Sleep(recheckInterval)
-		e := &examination{began: time.Now()}
+		e := &examination{began: time.Now(), addresses: m.config.Sample(sampleSize)}
 		if m.try(e); !e.reached {
-			m.hanging.Store(e.refused < e.tried)
+			m.hanging.Store(e.refused < len(e.addresses))
 			continue
 		}
 		m.Connected(e.began)
@@ -165,18 +171,16 @@
 	}
 }
 
-// try connects to a sample of the instances at once. It returns when one is reached, or
+// try connects to the instances of an examination at once. It returns when one is reached, or
 // when none is.
 func (m *Monitor) try(e *examination) {
-	addresses := m.config.Sample(sampleSize)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	results := make(chan error, len(addresses))
-	for _, address := range addresses {
+	results := make(chan error, len(e.addresses))
+	for _, address := range e.addresses {
 		go func() { results <- m.config.Connect(ctx, address) }()
 	}
-	e.tried = len(addresses)
-	for range addresses {
+	for range e.addresses {
 		err := <-results
 		if err == nil {
 			e.reached = true
--- a/internal/uplink/monitor_test.go
+++ b/internal/uplink/monitor_test.go
@@ -33,7 +33,7 @@
 		return exchange.ErrRefused
 	})
 	for range 20 {
-		g.Expect(m.Confirm(t.Context(), time.Now())).To(BeFalse())
+		g.Expect(m.Confirm(t.Context(), "x", time.Now())).To(BeFalse())
 	}
 	g.Consistently(m.Lost, 100*time.Millisecond).Should(BeFalse())
 	g.Expect(tries.Load()).To(BeNumerically("<=", 3), "one examination")
@@ -44,7 +44,7 @@
 	m := newMonitor([]string{"a"}, func(string) error { return exchange.ErrRefused })
 	began := time.Now()
 	m.Connected(time.Now())
-	g.Expect(m.Confirm(t.Context(), began)).To(BeFalse())
+	g.Expect(m.Confirm(t.Context(), "x", began)).To(BeFalse())
 	g.Consistently(m.Lost, 50*time.Millisecond).Should(BeFalse())
 }
 
@@ -59,7 +59,7 @@
 				}
 				return failure
 			})
-			g.Expect(m.Confirm(t.Context(), time.Now())).To(BeTrue())
+			g.Expect(m.Confirm(t.Context(), "x", time.Now())).To(BeTrue())
 			g.Expect(m.Lost()).To(BeTrue())
 			g.Expect(m.Hanging()).To(Equal(name == "hanging"))
 			restored.Store(true)
@@ -67,3 +67,11 @@
 		})
 	}
 }
+
+// Guards against a daemon that takes the crash of its only instance for its own lost links.
+func TestLinksAreNotLostWithTheOnlyInstance(t *testing.T) {
+	g := NewWithT(t)
+	m := newMonitor([]string{"a"}, func(string) error { return exchange.ErrRefused })
+	g.Expect(m.Confirm(t.Context(), "a", time.Now())).To(BeFalse())
+	g.Expect(m.Lost()).To(BeFalse())
+}
