--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,6 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/crashwatch"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
-	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/metering"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
@@ -30,6 +30,8 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/scaling"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/tunnel"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/uplink"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/homes"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/lease"
@@ -123,7 +125,13 @@
 	crashWatch  *crashwatch.Watch
 	crashGuard  *crashguard.Guard
 	speeds      *speed.Learner
-	relay       *relay.Relay
+	links       *uplink.Monitor
+	tunnels     *tunnel.Server
+	// tunnelListener is nil if the daemon accepts no tunnels.
+	tunnelListener net.Listener
+	// dialInstance connects to an instance directly.
+	dialInstance func(ctx context.Context, address string) (net.Conn, error)
+	relay        *relay.Relay
 	// requestMemory and replyMemory limit what the relay buffers.
 	requestMemory, replyMemory *relay.MemoryBudget
 	civil                      *bootclock.Civil
@@ -159,6 +167,7 @@
 	d.members = newMembers(p.Store, log, member{
 		Name: s.Name, Incarnation: d.civil.Now().UnixMilli(), DataCentre: s.DataCentre,
 		Callers: s.CallersAddress, Coordinator: s.CoordinatorAddress, CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
+		Tunnels: s.TunnelsAddress,
 	})
 	d.instances.DaemonCount = d.members.count
 	if d.evacuations = newEvacuations(s.Bounds); d.evacuations != nil {
@@ -274,9 +283,7 @@
 
 func (d *Daemon) buildRelay() {
 	s := d.settings
-	pool := exchange.NewPool(exchange.Config{
-		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: instanceIdleTimeout,
-	})
+	pool := d.buildPool()
 	d.instances.OnRemove = pool.CloseIdle
 	d.crashWatch = crashwatch.New(crashwatch.Config{
 		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Serving: d.instances.Serving,
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 )
 
 // Config holds the parameters of a Pool.
@@ -18,6 +18,14 @@
 	AckTimeout time.Duration
 	// IdleTimeout is the maximum time that an idle connection is kept.
 	IdleTimeout time.Duration
+	// Dial connects to an instance; nil means Dial of this package. Its errors wrap
+	// ErrNotSent.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Links knows whether instances can be reached; nil means that they can.
+	Links Links
+	// Detour connects to an instance through another daemon; nil means that none does so.
+	// Its errors wrap ErrNotSent, and ErrLinksLost if no daemon gave a connection.
+	Detour func(ctx context.Context, address string) (*net.TCPConn, error)
 }
 
 // idleMargin is how long before the idle timeout announced by the upstream a
@@ -53,7 +61,7 @@
 		_ = c.Close()
 	}
 	metrics.GetOrCreateCounter("rudder_upstream_connections_total").Inc()
-	return dial(ctx, peer.Address, p.config.DialTimeout, p.config.AckTimeout)
+	return p.connect(ctx, peer.Address)
 }
 
 func (p *Pool) reusable(c *conn) bool {
@@ -61,7 +69,7 @@
 	if c.idleTimeout > 0 {
 		timeout = min(timeout, c.idleTimeout-idleMargin)
 	}
-	return time.Since(c.idleSince) < timeout && c.openWithoutData()
+	return time.Since(c.idleSince) < timeout && p.onUsableWay(c) && c.openWithoutData()
 }
 
 func (p *Pool) pop(id string) *conn {
@@ -102,13 +110,3 @@
 		_ = c.Close()
 	}
 }
-
-// Reachable connects to address and closes the connection. It returns nil if the
-// instance accepted it, and an error that wraps ErrNotSent otherwise.
-func (p *Pool) Reachable(ctx context.Context, address string) error {
-	c, err := dial(ctx, address, p.config.DialTimeout, p.config.AckTimeout)
-	if err != nil {
-		return err
-	}
-	return errors.Wrap(c.Close(), "close connection")
-}
