Don't prove the configuration current just after a restore of the store

Callers would see: a request with a key that had been taken away runs later than the revocation bound allows. The version that took it away is lost in the restore, a daemon that hadn't seen it lists the store before the operators have written it again, and counts its configuration as current from then on.

Cause: any answer of the store proved the copy current.

For the settling time of a restored store, answers show contact (ContactAge) but prove nothing (Age). The age of the last proof before goes on growing, also in what is forwarded. Whether a daemon forwards its mirrors or campaigns depends on contact only. A follower assumes contact of at most one second before its request, because the other daemon forwards nothing with an older one. The poll at the end of the settling time ends 10 ms after it.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -46,15 +46,18 @@
 	return fleet, operator
 }
 
-// contactAge returns the age of the last proof that this daemon's mirrors are current,
-// and false if they are not current enough to be forwarded.
+// contactAge returns the age of the last proof that this daemon's mirror of the operators'
+// entries is current, and false if its contact with the store is too old for its mirrors to be
+// forwarded.
 func (d *Daemon) contactAge() (time.Duration, bool) {
-	age, known := d.state.operator.Age()
-	if !known || age > maxRelayContactAge || d.state.operator.Failing() || d.state.fleet.Failing() {
+	contact, known := d.state.operator.ContactAge()
+	if !known || contact > maxRelayContactAge || d.state.operator.Failing() || d.state.fleet.Failing() {
 		return 0, false
 	}
-	_, known = d.state.fleet.Age()
-	return age, known
+	if _, known = d.state.fleet.Age(); !known {
+		return 0, false
+	}
+	return d.state.operator.Age()
 }
 
 // behind reports whether a follower at a position knows of a restore of the store that this
@@ -122,7 +125,8 @@
 		return
 	}
 	// A coordinator of an earlier version doesn't forward the operators' entries.
-	if response.ConfigRevision > d.state.operator.MaxModRevision() {
+	own := d.state.operator.MaxModRevision()
+	if response.ConfigRevision > own || store.Generation(response.ConfigRevision) < store.Generation(own) {
 		d.state.operator.StopRelay()
 	} else {
 		proof := sent - time.Duration(response.ConfigAgeNanos)
@@ -140,9 +144,12 @@
 	defer p.mu.Unlock()
 	if operator != nil {
 		proof := sent - time.Duration(operator.AgeNanos)
-		if !d.applyDelta(d.state.operator, operator, proof, proof, &p.operatorIncomplete) {
+		// The proof is older than the contact while a restored store is written again.
+		contact := max(proof, sent-maxRelayContactAge)
+		if !d.applyDelta(d.state.operator, operator, proof, contact, &p.operatorIncomplete) {
 			return
 		}
+		d.state.operator.SetRelayedContact(contact)
 	}
 	if !d.applyDelta(d.state.fleet, fleet, sent-time.Duration(fleet.AgeNanos), sent, &p.fleetIncomplete) {
 		return
@@ -228,9 +235,10 @@
 const campaignDelay = 700 * time.Millisecond
 
 // mayCampaign reports whether this daemon may campaign for the coordinator duty:
-// it is not draining, its mirrors are current, and they show no holder.
+// it is not draining, it is in contact with the store, and its mirror shows no holder.
 func (d *Daemon) mayCampaign() bool {
-	if d.draining.Load() || !d.state.Fresh(configPollWait+time.Second) || !d.state.fleet.Synced() {
+	contact, known := d.state.operator.ContactAge()
+	if d.draining.Load() || !known || contact >= configPollWait+time.Second || !d.state.fleet.Synced() {
 		return false
 	}
 	if _, held := d.state.fleet.Get(dutyKey); held {
--- a/internal/edge/restoredconfig_test.go
+++ b/internal/edge/restoredconfig_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
@@ -101,3 +102,46 @@
 	g.Eventually(func() bool { return forwarded(0) }, time.Second, 10*time.Millisecond).Should(BeTrue())
 	g.Expect(forwarded(1)).To(BeFalse())
 }
+
+// A key may have been taken away in a version that is lost, and that no daemon has seen.
+// Guards against a configuration that counts as current before the operators have written
+// it again, and against daemons that stop following the coordinator, or don't campaign, for
+// that time.
+func TestConfigurationIsNotProvedCurrentJustAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 5)
+	snapshot := f.store.Snapshot()
+	f.restore(snapshot)
+	restored := bootclock.Now()
+	seen := func() bool {
+		for _, d := range f.daemons {
+			if store.Generation(d.state.operator.Revision()) != store.CurrentGeneration(d.platform.Store) || d.state.operator.Revision() == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	g.Eventually(f.coordinator, 2*time.Second, 5*time.Millisecond).ShouldNot(BeNil(), "the duty is free at once")
+	g.Eventually(seen, time.Second, 5*time.Millisecond).Should(BeTrue())
+	for bootclock.Now() < restored+2*time.Second {
+		for _, d := range f.daemons {
+			age, known := d.state.operator.Age()
+			g.Expect(known).To(BeTrue())
+			g.Expect(bootclock.Now()-age).To(BeNumerically("<", restored+50*time.Millisecond), d.settings.Name)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, d := range f.daemons {
+		contact, _ := d.state.operator.ContactAge()
+		g.Expect(contact).To(BeNumerically("<", configPollWait+time.Second), "it may campaign")
+	}
+	g.Eventually(func() bool {
+		for _, d := range f.daemons {
+			if !d.state.Fresh(bootclock.Now() - restored) {
+				return false
+			}
+		}
+		return true
+	}, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+	g.Expect(bootclock.Now() - restored).To(BeNumerically("<", 4*time.Second))
+}
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -265,13 +265,16 @@
 // older revision, was current at currentAt. This mirror does not poll the store
 // until relayTimeout after relayedAt.
 func (m *Mirror) SetRelayedCurrent(currentAt, relayedAt time.Duration) {
-	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
-	if int64(relayedAt) > m.relayedAt.Load() {
-		m.relayedAt.Store(int64(relayedAt))
-	}
-	if int64(currentAt) > m.currentAt.Load() {
-		m.currentAt.Store(int64(currentAt))
-	}
+	m.SetRelayedContact(currentAt)
+	raise(&m.relayedAt, relayedAt)
+	raise(&m.currentAt, currentAt)
+}
+
+// SetRelayedContact records that the store answered another daemon at the given time. It may
+// be later than the time at which the mirror of that daemon was current; see ContactAge.
+func (m *Mirror) SetRelayedContact(at time.Duration) {
+	m.config.Contact.answered(at, at, m.config.Now())
+	raise(&m.answeredAt, at)
 }
 
 // Relayed reports whether updates currently come from another daemon.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -43,6 +43,9 @@
 	// expiryGrace is how long entries that disappeared around an outage of the store are
 	// kept after the last failed call.
 	expiryGrace = rewriteTime + 300*time.Millisecond
+	// settledMargin is the time after the settling time of a restored store at which a poll
+	// ends.
+	settledMargin = 10 * time.Millisecond
 	// expiryTime is the shortest outage in which an entry can expire: owners write about
 	// every second, and an entry expires after three missed writes.
 	expiryTime = 2 * time.Second
@@ -143,6 +146,7 @@
 
 	// The times are values of Now(); 0 means never.
 	currentAt     atomic.Int64 // latest time at which the copy is known to be current
+	answeredAt    atomic.Int64 // latest time at which the copy is known to be that of the store
 	lastFailureAt atomic.Int64 // latest failed call
 	synced        atomic.Bool
 	failing       atomic.Bool   // the latest call got no reply
@@ -180,6 +184,17 @@
 	return m.config.Now() - currentAt, true
 }
 
+// ContactAge returns how long ago the copy was last known to be that of the store, and false
+// if it never was. The store may lack the latest writes of its owners after a restore: only
+// Age counts for what depends on these.
+func (m *Mirror) ContactAge() (time.Duration, bool) {
+	answeredAt := time.Duration(m.answeredAt.Load())
+	if answeredAt == 0 {
+		return 0, false
+	}
+	return m.config.Now() - answeredAt, true
+}
+
 // Synced reports whether the store has been listed once.
 func (m *Mirror) Synced() bool { return m.synced.Load() }
 
@@ -234,7 +249,7 @@
 		}
 		pause := m.config.PollPause()
 		if err != nil && ctx.Err() == nil {
-			if m.lastFailureAt.Load() <= m.currentAt.Load() {
+			if m.lastFailureAt.Load() <= m.answeredAt.Load() {
 				m.config.Log.Warn("dependency lost", "dependency", "store", "prefix", m.config.Prefix, "error", err)
 			}
 			m.lastFailureAt.Store(int64(m.config.Now()))
@@ -284,7 +299,7 @@
 	if m.config.HoldOff == nil || !m.config.HoldOff() {
 		return false
 	}
-	return m.config.Now()-time.Duration(m.currentAt.Load()) < maxHoldOff
+	return m.config.Now()-time.Duration(m.answeredAt.Load()) < maxHoldOff
 }
 
 // list lists the store and updates the copy. Entries that are not in the list are
@@ -335,7 +350,7 @@
 	m.setCurrent(sent)
 	m.synced.Store(true)
 	if m.config.PauseAfterList {
-		m.SetRelayedCurrent(sent, sent)
+		raise(&m.relayedAt, sent)
 	}
 	return nil
 }
@@ -349,6 +364,9 @@
 	if due, pending := m.nextRemovalDue(); pending {
 		wait = min(wait, max(due-m.config.Now(), m.config.PollPause()))
 	}
+	if until, settling := m.config.Contact.settling(m.config.Now()); settling {
+		wait = min(wait, until-m.config.Now()+settledMargin) // to be current soon after
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollReplyMargin)
 	defer cancel()
 	after := m.Revision()
@@ -425,12 +443,20 @@
 	}
 }
 
-// setCurrent records that the copy was current at the given time and that the
-// store has replied.
+// raise sets a time to a later one.
+func raise(at *atomic.Int64, to time.Duration) {
+	if int64(to) > at.Load() {
+		at.Store(int64(to))
+	}
+}
+
+// setCurrent records that the copy was that of the store at the given time and that the
+// store has replied. The copy was current then unless the store was restored just before.
 func (m *Mirror) setCurrent(at time.Duration) {
-	recovered := m.lastFailureAt.Load() > m.currentAt.Load()
-	if int64(at) > m.currentAt.Load() {
-		m.currentAt.Store(int64(at))
+	recovered := m.lastFailureAt.Load() > m.answeredAt.Load()
+	raise(&m.answeredAt, at)
+	if until, settling := m.config.Contact.settling(m.config.Now()); !settling && at >= until {
+		raise(&m.currentAt, at)
 	}
 	m.polledAt.Store(int64(at))
 	m.failing.Store(false)
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -66,13 +66,13 @@
 // again: an older configuration in force, requests to instances that left.
 func TestOlderCopyDoesNotReplaceKnownEntries(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: store.InGeneration(int64(1), int64(20)), list: []store.KeyValue{
+	s := &fakeStore{revision: store.InGeneration(1, 20), list: []store.KeyValue{
 		versioned("same", "1", 1, 5), versioned("changed", "2", 1, 11), versioned("kept", "2", 1, 12), versioned("added", "1", 1, 13),
 		versioned("live/drains", "2", 1, 14), versioned("live/left", "1", 1, 9), versioned("live/again", "1", 1, 8), versioned("now/added", "1", 1, 15),
 	}}
 	m := startRestored(t, s)
 	s.set(func(s *fakeStore) {
-		s.revision, s.events = store.InGeneration(int64(1), int64(21)), []store.Event{deleteEvent("live/left", store.InGeneration(int64(1), int64(21)))}
+		s.revision, s.events = store.InGeneration(1, 21), []store.Event{deleteEvent("live/left", store.InGeneration(1, 21))}
 	})
 	g.Eventually(has(m, "live/left"), time.Second, 5*time.Millisecond).Should(BeFalse())
 	s.restore(2, 10, versioned("same", "1", 2, 5), versioned("changed", "1", 2, 6), versioned("kept", "1", 2, 7),
@@ -87,9 +87,9 @@
 	g.Expect(has(m, "live/left")()).To(BeFalse())
 	g.Expect(has(m, "now/added")()).To(BeFalse(), "the store counts at once")
 	same, _ := m.Get("same")
-	g.Expect(same.ModRevision).To(Equal(store.InGeneration(int64(2), int64(5))))
+	g.Expect(same.ModRevision).To(Equal(store.InGeneration(2, 5)))
 	s.set(func(s *fakeStore) {
-		s.revision = store.InGeneration(int64(2), int64(12))
+		s.revision = store.InGeneration(2, 12)
 		s.events = []store.Event{{KeyValue: versioned("changed", "0", 2, 11)}, {KeyValue: versioned("live/drains", "0", 2, 12)}}
 		s.list[1], s.list[3] = s.events[0].KeyValue, s.events[1].KeyValue
 	})
@@ -104,7 +104,7 @@
 	g.Expect(has(m, "added")()).To(BeFalse())
 	g.Expect(has(m, "live/left")()).To(BeFalse(), "its owner writes it often, if there is one")
 	s.set(func(s *fakeStore) {
-		s.revision, s.events = store.InGeneration(int64(2), int64(13)), append(s.events, store.Event{KeyValue: versioned("live/left", "5", 2, 13)})
+		s.revision, s.events = store.InGeneration(2, 13), append(s.events, store.Event{KeyValue: versioned("live/left", "5", 2, 13)})
 	})
 	g.Eventually(has(m, "live/left"), soon, 5*time.Millisecond).Should(BeTrue())
 }
@@ -113,7 +113,7 @@
 // that brings back what the first one didn't.
 func TestTwoRestoresInARow(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: store.InGeneration(int64(1), int64(20)), list: []store.KeyValue{versioned("changed", "2", 1, 11), versioned("added", "1", 1, 12)}}
+	s := &fakeStore{revision: store.InGeneration(1, 20), list: []store.KeyValue{versioned("changed", "2", 1, 11), versioned("added", "1", 1, 12)}}
 	m := startRestored(t, s)
 	s.restore(2, 10, versioned("changed", "1", 2, 6), versioned("x", "1", 2, 7))
 	g.Eventually(has(m, "x"), time.Second, 5*time.Millisecond).Should(BeTrue())
@@ -135,11 +135,15 @@
 func TestDeltasBetweenGenerations(t *testing.T) {
 	g := NewWithT(t)
 	list := []store.KeyValue{versioned("changed", "2", 1, 11), versioned("added", "1", 1, 12), versioned("live/left", "1", 1, 9)}
-	before, after := &fakeStore{revision: store.InGeneration(int64(1), int64(20)), list: list}, &fakeStore{revision: store.InGeneration(int64(1), int64(20)), list: list}
-	behind, ahead, follower := startRestored(t, before), startRestored(t, after), startRestored(t, after)
-	for _, s := range []*fakeStore{after} {
+	stores := make([]*fakeStore, 3)
+	for i := range stores {
+		stores[i] = &fakeStore{revision: store.InGeneration(1, 20), list: list}
+	}
+	before, after := stores[0], stores[1]
+	behind, ahead, follower := startRestored(t, before), startRestored(t, after), startRestored(t, stores[2])
+	for _, s := range stores[1:] {
 		s.set(func(s *fakeStore) {
-			s.revision, s.events = store.InGeneration(int64(1), int64(21)), []store.Event{deleteEvent("live/left", store.InGeneration(int64(1), int64(21)))}
+			s.revision, s.events = store.InGeneration(1, 21), []store.Event{deleteEvent("live/left", store.InGeneration(1, 21))}
 		})
 	}
 	for _, m := range []*mirror.Mirror{ahead, follower} {
@@ -149,7 +153,7 @@
 	g.Expect(has(follower, "live/left")()).To(BeFalse())
 	after.restore(2, 10, versioned("changed", "1", 2, 6), versioned("live/left", "1", 2, 9), versioned("x", "1", 2, 7))
 	g.Eventually(has(ahead, "x"), time.Second, 5*time.Millisecond).Should(BeTrue())
-	fresh := startRestored(t, &fakeStore{revision: store.InGeneration(int64(2), int64(10)), list: []store.KeyValue{
+	fresh := startRestored(t, &fakeStore{revision: store.InGeneration(2, 10), list: []store.KeyValue{
 		versioned("changed", "1", 2, 6), versioned("live/left", "1", 2, 9), versioned("x", "1", 2, 7),
 	}})
 	relay(fresh, follower) // it has nothing but the restored copy
@@ -160,7 +164,7 @@
 		g.Expect(has(m, "live/left")()).To(BeFalse())
 	}
 	before.set(func(s *fakeStore) {
-		s.revision, s.events = store.InGeneration(int64(1), int64(30)), []store.Event{{KeyValue: versioned("changed", "late", 1, 25)}, {KeyValue: versioned("late", "1", 1, 30)}}
+		s.revision, s.events = store.InGeneration(1, 30), []store.Event{{KeyValue: versioned("changed", "late", 1, 25)}, {KeyValue: versioned("late", "1", 1, 30)}}
 	})
 	g.Eventually(has(behind, "late"), time.Second, 5*time.Millisecond).Should(BeTrue())
 	relay(behind, ahead)
@@ -170,3 +174,24 @@
 		g.Expect(value(m, "changed")()).To(Equal("2"))
 	}
 }
+
+// Guards against a configuration that counts as current although a key that was taken away
+// just before a restore is still in it, and against a daemon that counts as cut off.
+func TestRestoredStoreProvesNothingUntilItIsWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: store.InGeneration(1, 20), list: []store.KeyValue{versioned("a", "1", 1, 11)}}
+	m := startRestored(t, s)
+	proved := func(age time.Duration, known bool) time.Duration {
+		g.Expect(known).To(BeTrue())
+		return bootclock.Now() - age
+	}
+	s.restore(2, 10, versioned("a", "1", 2, 6), versioned("x", "1", 2, 7))
+	restored := bootclock.Now()
+	g.Eventually(has(m, "x"), time.Second, 5*time.Millisecond).Should(BeTrue())
+	for bootclock.Now() < restored+2*time.Second {
+		g.Expect(proved(m.Age())).To(BeNumerically("<", restored+50*time.Millisecond))
+		g.Expect(proved(m.ContactAge())).To(BeNumerically(">", bootclock.Now()-500*time.Millisecond))
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Eventually(func() time.Duration { return proved(m.Age()) }, time.Second, 5*time.Millisecond).Should(BeNumerically(">", restored+2300*time.Millisecond))
+}
