Campaign for a duty that the store shows as held by this daemon

Callers would see: no fleet-wide order, usage report or quota for up to a lease time after a restore of the store, because nobody coordinates.

Cause: the restored store has the holder's claim of before, under a lease that nobody renews. The holder gives up its token and may claim the duty at once (pkg/lease recognises its own claim), but isn't a candidate while its mirror shows a holder, itself.

A claim with the daemon's own address no longer prevents a campaign; pkg/lease reads the key and decides.

Before the change TestHolderTakesItsDutyAgainAfterARestore fails: no coordinator within 1 s of all copies being those of the restored store.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -235,13 +235,14 @@
 const campaignDelay = 700 * time.Millisecond
 
 // mayCampaign reports whether this daemon may campaign for the coordinator duty:
-// it is not draining, it is in contact with the store, and its mirror shows no holder.
+// it is not draining, it is in contact with the store, and its mirror shows no other holder.
 func (d *Daemon) mayCampaign() bool {
 	contact, known := d.state.operator.ContactAge()
 	if d.draining.Load() || !known || contact >= configPollWait+time.Second || !d.state.fleet.Synced() {
 		return false
 	}
-	if _, held := d.state.fleet.Get(dutyKey); held {
+	// The store may show an own claim that was given up; see lease.Holder.
+	if kv, held := d.state.fleet.Get(dutyKey); held && holderAddress(string(kv.Value)) != d.link.self {
 		return false
 	}
 	now := bootclock.Now()
--- a/internal/edge/restoredconfig_test.go
+++ b/internal/edge/restoredconfig_test.go
@@ -103,6 +103,27 @@
 	g.Expect(forwarded(1)).To(BeFalse())
 }
 
+// reached reports whether the copies of all daemons are of a generation of the store.
+func (f *restoredFleet) reached(generation int64) bool {
+	for _, d := range f.daemons {
+		if store.Generation(d.state.operator.Revision()) != generation || store.Generation(d.state.fleet.Revision()) != generation {
+			return false
+		}
+	}
+	return true
+}
+
+// The restored store has the claim of the holder of the duty, whose lease isn't known to it
+// any more. Guards against a fleet without a coordinator until that lease ends.
+func TestHolderTakesItsDutyAgainAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 5)
+	holder := f.coordinator()
+	f.restore(f.store.Snapshot())
+	g.Eventually(func() bool { return f.reached(3) }, 2*time.Second, 5*time.Millisecond).Should(BeTrue())
+	g.Eventually(f.coordinator, time.Second, 5*time.Millisecond).Should(Equal(holder))
+}
+
 // A key may have been taken away in a version that is lost, and that no daemon has seen.
 // Guards against a configuration that counts as current before the operators have written
 // it again, and against daemons that stop following the coordinator, or don't campaign, for
