Mirror: accept withheld entries at followers, and those of living owners

Two consequences of withholding the entries of a restored store. An order of the operators that is in the store after the settling time came into force at the coordinator only: followers skip an entry whose revision their copy includes, and don't list while they follow. And the entry of an instance that was deleted just before the restore, but whose owner lives, stayed out until it changed, which a heartbeat doesn't do. An instance that had left came in at a follower through a delta after the first one of the new generation.

Followers now take an entry from a copy that is no older than theirs, unless its removal is pending there. Any daemon lists once more when an entry has been withheld long enough: the settling time, and for instances and daemons 4 s more, after which the entry of an owner that is gone has been removed. Keys deleted before a restore are kept for all later lists and deltas. A list follows a lost history without a pause, so that the coordinator's two mirrors reach a new generation together.

--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -205,13 +205,19 @@
 		return false
 	}
 	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
-	deletedBefore := m.beginGeneration(delta.Cursor.Revision)
+	reconcile := m.beginGeneration(delta.Cursor.Revision, false)
+	gone := map[string]bool{}
+	for _, r := range delta.Pending {
+		gone[r.Key] = true
+	}
 	for _, kv := range delta.Entries {
-		// An entry of a revision that this copy includes, and does not have, was deleted.
-		if _, present := m.items[kv.Key]; !present && kv.ModRevision <= m.revision {
+		// An entry of a revision that this copy includes, and does not have, was deleted, unless
+		// the other copy is no older: then that daemon has withheld it.
+		deleted := kv.ModRevision <= m.revision && (delta.Cursor.Revision < m.revision || gone[kv.Key])
+		if _, present := m.items[kv.Key]; !present && deleted {
 			continue
 		}
-		if m.withhold(kv, deletedBefore) {
+		if m.withhold(kv, reconcile) {
 			continue
 		}
 		changes = m.put(changes, kv)
@@ -236,7 +242,7 @@
 		}
 	}
 	changes = m.applyPending(changes, delta.Pending)
-	if deletedBefore != nil {
+	if reconcile {
 		m.logReconciled(delta.Cursor.Revision)
 	}
 	complete := delta.Digest == 0 || delta.Digest == m.digest
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -46,6 +46,8 @@
 	// settledMargin is the time after the settling time of a restored store at which a poll
 	// ends.
 	settledMargin = 10 * time.Millisecond
+	// silenceTime is the time after which the entry of an owner that is gone is removed.
+	silenceTime = 4 * time.Second
 	// expiryTime is the shortest outage in which an entry can expire: owners write about
 	// every second, and an entry expires after three missed writes.
 	expiryTime = 2 * time.Second
@@ -141,6 +143,7 @@
 	pendingRemovals map[string]pendingRemoval
 	withheld        map[string]int64 // revisions of listed entries that are not in the copy; see withhold
 	revision        int64
+	deletedBefore   map[string]bool // keys that were deleted before the latest restore
 	// listedGeneration is the generation of the store at the latest list.
 	listedGeneration int64
 
@@ -169,7 +172,7 @@
 		config.Contact = &Contact{}
 	}
 	return &Mirror{
-		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{}, withheld: map[string]int64{},
+		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{}, withheld: map[string]int64{}, deletedBefore: map[string]bool{},
 		interrupts: make(chan struct{}, 1),
 	}
 }
@@ -230,11 +233,12 @@
 	var retryDelay time.Duration
 	listed := false
 	for ctx.Err() == nil {
+		listed = listed && !m.withheldTooLong()
 		if listed && (m.Relayed() && !m.PollRequired() || m.heldOff()) {
 			m.pause(ctx, relayCheckInterval)
 			continue
 		}
-		listed = listed && !m.needsList()
+		listed = listed && !m.behindGeneration()
 		var err error
 		if !listed {
 			err = m.list(ctx)
@@ -244,7 +248,7 @@
 			if errors.Is(err, store.ErrCompacted) {
 				m.config.Log.Warn("store history lost, list again", "revision", m.Revision())
 				listed = false
-				err = nil
+				continue
 			}
 		}
 		pause := m.config.PollPause()
@@ -324,10 +328,10 @@
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
-	deleted := m.beginGeneration(revision)
+	reconcile := m.beginGeneration(revision, true)
 	for _, kv := range entries {
 		present[kv.Key] = true
-		if !m.withhold(kv, deleted) {
+		if !m.withhold(kv, reconcile) {
 			changes = m.put(changes, kv)
 		}
 	}
@@ -341,7 +345,7 @@
 			delete(m.withheld, key)
 		}
 	}
-	if deleted != nil {
+	if reconcile {
 		m.logReconciled(revision)
 	}
 	m.revision, m.listedGeneration = max(m.revision, revision), store.Generation(revision)
@@ -365,7 +369,7 @@
 		wait = min(wait, max(due-m.config.Now(), m.config.PollPause()))
 	}
 	if until, settling := m.config.Contact.settling(m.config.Now()); settling {
-		wait = min(wait, until-m.config.Now()+settledMargin) // to be current soon after
+		wait = min(wait, until-m.config.Now()+settledMargin).Truncate(time.Millisecond) // to be current soon after
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollReplyMargin)
 	defer cancel()
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
@@ -11,53 +12,42 @@
 // withholds entries that differ. Then the contents of the store count.
 
 // beginGeneration is called before a list or a delta of another revision is applied. It
-// returns the keys that the copy had and that were deleted, if the revision is of a later
-// generation than the copy. The caller holds the lock.
-func (m *Mirror) beginGeneration(revision int64) (deleted map[string]bool) {
+// reports whether the copy has to be reconciled with it. The caller holds the lock.
+func (m *Mirror) beginGeneration(revision int64, list bool) bool {
 	now := m.config.Now()
 	if m.config.Contact.observe(revision, now) {
 		m.config.Log.Warn("store restored", "prefix", m.config.Prefix, "revision", store.Local(revision), "known", store.Local(m.revision),
 			"generation", store.Generation(revision))
 	}
-	if m.revision == 0 || store.Generation(revision) <= store.Generation(m.revision) {
-		return nil
+	_, settling := m.config.Contact.settling(now)
+	if !settling || m.revision == 0 {
+		return false
 	}
-	if _, settling := m.config.Contact.settling(now); !settling {
-		return nil
+	if store.Generation(revision) <= store.Generation(m.revision) {
+		return list
 	}
 	clear(m.withheld)
-	deleted = map[string]bool{}
+	clear(m.deletedBefore)
 	for _, c := range m.changes {
 		if _, present := m.items[c.key]; !present {
-			deleted[c.key] = true
+			m.deletedBefore[c.key] = true
 		}
 	}
-	return deleted
+	return true
 }
 
-// withhold reports whether a listed entry may be older than what the copy knows, and records
-// it. deleted are the keys that were deleted before a restore. The caller holds the lock.
-func (m *Mirror) withhold(kv store.KeyValue, deleted map[string]bool) bool {
-	now := m.config.Now()
-	if revision, withheld := m.withheld[kv.Key]; withheld && revision == kv.ModRevision {
-		// The owner of a live entry would have written it by now.
-		if _, settling := m.config.Contact.settling(now); settling || m.ownerWritesOften(kv.Key) {
-			return true
-		}
-	}
-	if deleted == nil || m.unreconciled(kv.Key) || m.config.Contact.writtenSince(kv.ModRevision) {
+// withhold reports whether an entry may be older than what the copy knows, and records it.
+// reconcile is the result of beginGeneration. The caller holds the lock.
+func (m *Mirror) withhold(kv store.KeyValue, reconcile bool) bool {
+	if m.unreconciled(kv.Key) || m.config.Contact.writtenSince(kv.ModRevision) || m.config.Now() >= m.withholdUntil(kv.Key) {
 		return false
 	}
 	old, present := m.items[kv.Key]
-	if present && store.Generation(old.ModRevision) == store.Generation(kv.ModRevision) {
-		return false
-	}
 	switch {
-	case !present && !deleted[kv.Key]:
-		return false
-	case present && bytes.Equal(old.Value, kv.Value):
-		return false
-	case present && m.config.Newer != nil && m.config.Newer(kv.Key, old.Value, kv.Value):
+	case m.withheld[kv.Key] == kv.ModRevision:
+	case !present && m.deletedBefore[kv.Key]:
+	case present && reconcile && m.differs(old, kv):
+	default:
 		return false
 	}
 	m.withheld[kv.Key] = kv.ModRevision
@@ -65,6 +55,28 @@
 	return true
 }
 
+// differs reports whether a restored entry differs from the known one and isn't newer by its
+// contents.
+func (m *Mirror) differs(known, restored store.KeyValue) bool {
+	switch {
+	case store.Generation(known.ModRevision) == store.Generation(restored.ModRevision):
+		return false
+	case bytes.Equal(known.Value, restored.Value):
+		return false
+	}
+	return m.config.Newer == nil || !m.config.Newer(known.Key, known.Value, restored.Value)
+}
+
+// withholdUntil returns until when a restored entry of a key is withheld. The entry of an owner
+// that is gone is removed when it has been silent.
+func (m *Mirror) withholdUntil(key string) time.Duration {
+	until, _ := m.config.Contact.settling(m.config.Now())
+	if m.config.DelayRemoval != nil && m.config.DelayRemoval(key) {
+		until += silenceTime
+	}
+	return until
+}
+
 // removeUnlisted removes an entry that isn't listed at a revision. If the entry is of an
 // earlier generation, its owner may write it again. The caller holds the lock.
 func (m *Mirror) removeUnlisted(changes []Change, kv store.KeyValue, revision int64) []Change {
@@ -80,10 +92,6 @@
 	return m.config.Unreconciled != nil && m.config.Unreconciled(key)
 }
 
-func (m *Mirror) ownerWritesOften(key string) bool {
-	return m.config.DelayRemoval != nil && m.config.DelayRemoval(key)
-}
-
 // accept ends the withholding of an entry that was written or deleted since. The caller
 // holds the lock.
 func (m *Mirror) accept(key string, revision int64) {
@@ -92,20 +100,22 @@
 	}
 }
 
-// needsList reports whether the store has to be listed again: its settling time is over and
-// entries are withheld, or the copy came into this generation through another daemon, which
-// may withhold entries that this copy lacks.
-func (m *Mirror) needsList() bool {
+// behindGeneration reports whether the copy came into its generation through another daemon,
+// which may withhold entries that this copy lacks. Then it has to be listed before a poll.
+func (m *Mirror) behindGeneration() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if store.Generation(m.revision) > m.listedGeneration {
-		return true
-	}
-	if _, settling := m.config.Contact.settling(m.config.Now()); settling {
-		return false
-	}
+	return store.Generation(m.revision) > m.listedGeneration
+}
+
+// withheldTooLong reports whether the store has to be listed again because it still has an
+// entry that was withheld long enough.
+func (m *Mirror) withheldTooLong() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	now := m.config.Now()
 	for key := range m.withheld {
-		if !m.ownerWritesOften(key) {
+		if now >= m.withholdUntil(key) {
 			return true
 		}
 	}
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -195,3 +195,20 @@
 	}
 	g.Eventually(func() time.Duration { return proved(m.Age()) }, time.Second, 5*time.Millisecond).Should(BeNumerically(">", restored+2300*time.Millisecond))
 }
+
+// A restored entry was deleted before the restore and is the same as before: an owner that
+// lives doesn't change it. Guards against an instance that stays out for good.
+func TestUnchangedEntryOfALivingOwnerComesBack(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: store.InGeneration(1, 20), list: []store.KeyValue{versioned("live/a", "1", 1, 9)}}
+	m := startRestored(t, s)
+	s.set(func(s *fakeStore) {
+		s.revision, s.events = store.InGeneration(1, 21), []store.Event{deleteEvent("live/a", store.InGeneration(1, 21))}
+	})
+	g.Eventually(has(m, "live/a"), time.Second, 5*time.Millisecond).Should(BeFalse())
+	s.restore(2, 10, versioned("live/a", "1", 2, 9), versioned("x", "1", 2, 4))
+	g.Eventually(has(m, "x"), time.Second, 5*time.Millisecond).Should(BeTrue())
+	const silent = 2300*time.Millisecond + 4*time.Second
+	g.Consistently(has(m, "live/a"), silent-300*time.Millisecond, 10*time.Millisecond).Should(BeFalse())
+	g.Eventually(has(m, "live/a"), time.Second, 10*time.Millisecond).Should(BeTrue())
+}
