Don't serve what a daemon finds in the store just after a restore

Callers would see: requests handled by an older configuration, with keys that had been taken away, or sent to an instance that had left, by a daemon that started just after a restore of the store. It has nothing to compare with the older copy. It could also take the coordinator duty while a holder of before, cut off from the store, was valid.

The coordinator records the generation of the store under serving/generation, once the settling time is over: one write for each generation, none without generations. Until its first list of that prefix, a daemon that starts treats the store as one that was restored just before. If the record is the present generation, or there is none (no coordinator yet), the copies are current at once. If it is another one, the daemon isn't ready and its configuration isn't proved until it has taken the coordinator's copies (a full delta, which replaces its own) or the settling time from its first answer is over, and it campaigns after a lease time only.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -142,6 +142,9 @@
 	// campaignsFrom is the time from which on a daemon on a small machine campaigns
 	// for the coordinator duty after its start; 0 until its mirrors are current.
 	campaignsFrom atomic.Int64
+	// campaignsAfter is the time from which on the daemon campaigns if the store was restored
+	// just before its start.
+	campaignsAfter atomic.Int64
 	// coordinatorRelay is the time of the last update from the coordinator.
 	coordinatorRelay atomic.Int64
 
@@ -203,12 +206,13 @@
 
 func (d *Daemon) buildMirrors() {
 	operator, fleetPrefix := d.platform.Reader.Prefixes()
-	contact := &mirror.Contact{}
+	contact := mirror.NewContact()
 	d.state.fleet = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, MaxPollWait: func() time.Duration { return fleetPollWait }, PollPause: d.currentFleetPollPause, Now: bootclock.Now,
 		Contact: contact, DelayRemoval: d.state.mayExpireInOutage, OnChanges: d.state.apply, MaxValueBytes: maxFleetValueBytes,
 		Newer: d.platform.Reader.Newer, Unreconciled: func(key string) bool { return key == dutyKey },
-		Backoff: d.storeBackoff, HoldOff: func() bool { return d.state.operator.Failing() },
+		OnFirstList: d.checkGeneration,
+		Backoff:     d.storeBackoff, HoldOff: func() bool { return d.state.operator.Failing() },
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, MaxPollWait: d.currentConfigPollWait, PollPause: func() time.Duration { return configPollPause }, Now: bootclock.Now,
@@ -338,7 +342,9 @@
 
 // Ready reports whether the daemon can serve requests.
 func (d *Daemon) Ready() bool {
-	return d.state.Table() != nil && d.state.fleet.Synced() && !d.draining.Load()
+	_, proved := d.state.operator.Age()
+	proved = proved && !d.state.operator.Provisional() && !d.state.fleet.Provisional()
+	return proved && d.state.Table() != nil && d.state.fleet.Synced() && !d.draining.Load()
 }
 
 // Addresses returns the addresses that callers should use.
@@ -412,6 +418,7 @@
 		{serving, duty.Duty{Name: "roll-outs", Run: d.rollouts.Run}},
 		{serving, duty.Duty{Name: "crash record", Run: d.keepCrashes}},
 		{serving, duty.Duty{Name: "fleet size", Run: d.keepFleetSize}},
+		{serving, duty.Duty{Name: "store generation", Run: d.keepGeneration}},
 	}
 	if d.settings.CloudAddress != "" {
 		if d.settings.HasDuty("metering") {
--- a/internal/edge/fleetload_test.go
+++ b/internal/edge/fleetload_test.go
@@ -280,7 +280,7 @@
 // runForTest starts the duties that follow the store.
 func (d *Daemon) runForTest(ctx context.Context) {
 	for _, run := range []func(context.Context) error{
-		d.state.operator.Run, d.state.fleet.Run, d.agent.Run, d.followReaders, d.holder.Run, d.announce,
+		d.state.operator.Run, d.state.fleet.Run, d.agent.Run, d.followReaders, d.holder.Run, d.announce, d.keepGeneration,
 	} {
 		go func() { _ = run(ctx) }() // ends with ctx
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -43,6 +43,12 @@
 	if !p.operatorIncomplete {
 		operator.Digest = d.state.operator.Digest()
 	}
+	if d.state.fleet.Provisional() {
+		fleet = &coordinatorv1.MirrorCursor{}
+	}
+	if d.state.operator.Provisional() {
+		operator = &coordinatorv1.MirrorCursor{}
+	}
 	return fleet, operator
 }
 
@@ -246,6 +252,9 @@
 		return false
 	}
 	now := bootclock.Now()
+	if now < time.Duration(d.campaignsAfter.Load()) {
+		return false
+	}
 	d.campaignsFrom.CompareAndSwap(0, int64(now+campaignDelay))
 	vacant := now - d.link.lastHolderChange()
 	return d.settings.CPUShare >= immediateCampaignCPU || vacant > campaignDelay && now > time.Duration(d.campaignsFrom.Load())
--- a/internal/edge/restoredconfig_test.go
+++ b/internal/edge/restoredconfig_test.go
@@ -1,14 +1,21 @@
 package edge
 
 import (
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
+	"github.com/dogwoodrudder/dogwoodrudder/platform"
 )
 
 // serving counts the daemons that may send requests to an instance.
@@ -134,16 +141,7 @@
 	snapshot := f.store.Snapshot()
 	f.restore(snapshot)
 	restored := bootclock.Now()
-	seen := func() bool {
-		for _, d := range f.daemons {
-			if store.Generation(d.state.operator.Revision()) != store.CurrentGeneration(d.platform.Store) || d.state.operator.Revision() == 0 {
-				return false
-			}
-		}
-		return true
-	}
-	g.Eventually(f.coordinator, 2*time.Second, 5*time.Millisecond).ShouldNot(BeNil(), "the duty is free at once")
-	g.Eventually(seen, time.Second, 5*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() bool { return f.reached(3) }, 2*time.Second, 5*time.Millisecond).Should(BeTrue())
 	for bootclock.Now() < restored+2*time.Second {
 		for _, d := range f.daemons {
 			age, known := d.state.operator.Age()
@@ -166,3 +164,91 @@
 	}, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
 	g.Expect(bootclock.Now() - restored).To(BeNumerically("<", 4*time.Second))
 }
+
+// addDaemon returns a daemon of the fleet that isn't running. The others don't call it.
+func (f *restoredFleet) addDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.CloseClientConnections)
+	client := func(string) mirror.Poller { return platform.NewStore(strings.TrimPrefix(server.URL, "http://")) }
+	d := newFleetOn(t, 1, client, &f.stopped, func(s *settings.Edge) {
+		s.Name, s.CallersAddress, s.CoordinatorAddress = "late", "10.0.9.1:1", "10.0.9.1:2"
+		s.Bounds.LeaveTime = 2 * time.Second
+	})[0]
+	d.link.dial = func(address string) (coordinatorv1.CoordinatorClient, error) {
+		for _, other := range f.daemons {
+			if _, down := f.stopped.Load(address); !down && other.settings.CoordinatorAddress == address {
+				return localClient{coordinatorServer{other.coordinator, other}}, nil
+			}
+		}
+		return nil, status.Error(codes.Unavailable, "down")
+	}
+	return d
+}
+
+func (f *restoredFleet) awaitRecord(g *WithT) {
+	g.Eventually(func() []byte { return f.store.Value(generationKey) }, 5*time.Second, 10*time.Millisecond).ShouldNot(BeNil())
+}
+
+// A daemon starts just after a restore, when the latest configuration is lost and no other
+// daemon runs. Guards against one that serves the configuration before, and that takes the
+// duty while its holder of before may be valid.
+func TestDaemonStartedAfterARestoreWaits(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 2)
+	f.awaitRecord(g)
+	late := f.addDaemon(t)
+	for _, d := range f.daemons {
+		f.stop(d)
+	}
+	g.Eventually(func() []string { return f.store.Keys(dutyKey) }, 5*time.Second, 10*time.Millisecond).Should(BeEmpty())
+	snapshot := f.store.Snapshot()
+	f.store.Put("op/config", configVersion(2))
+	f.restore(snapshot)
+	began := time.Now()
+	late.runForTest(t.Context())
+	g.Eventually(late.state.Table, time.Second, 5*time.Millisecond).ShouldNot(BeNil())
+	ready := func() bool { return late.Ready() || late.state.Fresh(time.Minute) }
+	g.Consistently(ready, time.Until(began.Add(1500*time.Millisecond)), 5*time.Millisecond).Should(BeFalse())
+	f.store.Put("op/config", configVersion(2))
+	g.Eventually(ready, 3*time.Second, 5*time.Millisecond).Should(BeTrue())
+	g.Expect(late.state.Table().Version).To(Equal(int64(2)))
+	g.Consistently(late.holder.Valid, time.Until(began.Add(3*time.Second)), 5*time.Millisecond).Should(BeFalse())
+	g.Eventually(late.holder.Valid, 8*time.Second, 5*time.Millisecond).Should(BeTrue())
+}
+
+// A daemon starts just after a restore, and the others know more than the store. Guards
+// against one that serves what it finds in the store.
+func TestDaemonStartedAfterARestoreFollowsOthers(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 2)
+	f.awaitRecord(g)
+	late := f.addDaemon(t)
+	f.store.Put("servers/left", instanceEntry("ready"))
+	g.Eventually(func() int { return serving(f.daemons, "left") }, 5*time.Second, 10*time.Millisecond).Should(Equal(2))
+	snapshot := f.store.Snapshot()
+	f.store.Delete("servers/left")
+	f.store.Put("op/config", configVersion(2))
+	g.Eventually(f.versions, 3*time.Second, 10*time.Millisecond).Should(Equal(map[int64]int{2: 2}))
+	g.Eventually(func() int { return serving(f.daemons, "left") }, 5*time.Second, 10*time.Millisecond).Should(BeZero())
+	f.restore(snapshot)
+	g.Eventually(f.coordinator, 2*time.Second, 5*time.Millisecond).ShouldNot(BeNil())
+	late.runForTest(t.Context())
+	g.Eventually(late.Ready, 2*time.Second, time.Millisecond).Should(BeTrue(), "it needn't wait")
+	g.Expect(late.state.Table().Version).To(Equal(int64(2)))
+	one := []*Daemon{late}
+	g.Eventually(func() int { return serving(one, "left") }, 500*time.Millisecond, time.Millisecond).Should(BeZero())
+	g.Consistently(func() int { return serving(one, "left") }, 3500*time.Millisecond, 5*time.Millisecond).Should(BeZero())
+	g.Expect(late.state.Table().Version).To(Equal(int64(2)))
+	g.Expect(serving(one, "i1")).To(Equal(1))
+}
+
+// Guards against a wait of daemons that start with a store that wasn't restored.
+func TestDaemonStartedWithoutARestoreDoesNotWait(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 2)
+	f.awaitRecord(g)
+	late := f.addDaemon(t)
+	late.runForTest(t.Context())
+	g.Eventually(late.Ready, time.Second, time.Millisecond).Should(BeTrue())
+}
--- a/internal/mirror/contact.go
+++ b/internal/mirror/contact.go
@@ -20,6 +20,29 @@
 	// there was none. Entries with a higher one were written after a restore.
 	firstRevision int64
 	settledFrom   time.Duration // see settling
+	// unconfirmed means that the store may have been restored just before the first answer.
+	unconfirmed bool
+}
+
+// NewContact returns the Contact of a daemon that starts. Until Mirror.Confirm is called, its
+// mirrors are treated as those of a store that was restored just before the first answer, if
+// the store distinguishes generations.
+func NewContact() *Contact { return &Contact{unconfirmed: true} }
+
+// confirm ends the settling time of a daemon that starts.
+func (c *Contact) confirm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unconfirmed {
+		c.unconfirmed, c.settledFrom = false, 0
+	}
+}
+
+// starting reports whether the settling time of a daemon that starts isn't over.
+func (c *Contact) starting(now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unconfirmed && now < c.settledFrom
 }
 
 // observe records the revision of an answer of the store, or of the copy of another daemon.
@@ -31,7 +54,7 @@
 		return false
 	}
 	restored := c.firstRevision != 0
-	if restored {
+	if restored || c.unconfirmed && store.Generation(revision) > 0 {
 		c.settledFrom = now + expiryGrace
 	}
 	c.firstRevision = revision
--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -206,6 +206,9 @@
 	}
 	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
 	reconcile := m.beginGeneration(delta.Cursor.Revision, false)
+	if delta.Whole && m.provisional(m.config.Now()) {
+		changes = m.replace(changes, delta)
+	}
 	gone := map[string]bool{}
 	for _, r := range delta.Pending {
 		gone[r.Key] = true
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -110,6 +110,9 @@
 	// Unreconciled reports whether the contents of the store count at once for a key, also
 	// just after a restore. Nil means never.
 	Unreconciled func(key string) bool
+	// OnFirstList is called when the changes of the first list have been published. Nil means
+	// that it isn't needed.
+	OnFirstList func()
 	// OnConnectivityChange is called when a call to the store fails, and when the
 	// first call after a failure succeeds: polls that were sent in between may never
 	// be answered. It must not block.
@@ -146,6 +149,7 @@
 	deletedBefore   map[string]bool // keys that were deleted before the latest restore
 	// listedGeneration is the generation of the store at the latest list.
 	listedGeneration int64
+	replaced         bool // see Provisional
 
 	// The times are values of Now(); 0 means never.
 	currentAt     atomic.Int64 // latest time at which the copy is known to be current
@@ -351,6 +355,9 @@
 	m.revision, m.listedGeneration = max(m.revision, revision), store.Generation(revision)
 	m.mu.Unlock()
 	m.publish(changes)
+	if m.config.OnFirstList != nil && !m.Synced() {
+		m.config.OnFirstList()
+	}
 	m.setCurrent(sent)
 	m.synced.Store(true)
 	if m.config.PauseAfterList {
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -20,7 +20,7 @@
 			"generation", store.Generation(revision))
 	}
 	_, settling := m.config.Contact.settling(now)
-	if !settling || m.revision == 0 {
+	if !settling || m.revision == 0 || m.provisional(now) {
 		return false
 	}
 	if store.Generation(revision) <= store.Generation(m.revision) {
@@ -36,6 +36,55 @@
 	return true
 }
 
+// Provisional reports whether the copy is that of a daemon that starts, and may lack what
+// was written before a restore. The copy of another daemon replaces it.
+func (m *Mirror) Provisional() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.provisional(m.config.Now())
+}
+
+// provisional implements Provisional. The caller holds the lock.
+func (m *Mirror) provisional(now time.Duration) bool {
+	return !m.replaced && m.config.Contact.starting(now)
+}
+
+// Settling reports whether the store may lack what was written before a restore.
+func (m *Mirror) Settling() bool {
+	_, settling := m.config.Contact.settling(m.config.Now())
+	return settling
+}
+
+// Confirm records that the store wasn't restored just before this daemon started.
+func (m *Mirror) Confirm() {
+	m.config.Contact.confirm()
+	raise(&m.currentAt, time.Duration(m.answeredAt.Load()))
+}
+
+// replace replaces the copy of a daemon that starts by that of another daemon. What was
+// written after the revision of that copy stays. The caller holds the lock.
+func (m *Mirror) replace(changes []Change, delta Delta) []Change {
+	present := make(map[string]bool, len(delta.Keys))
+	for _, key := range delta.Keys {
+		present[key] = true
+	}
+	for key, kv := range m.items {
+		if !present[key] && kv.ModRevision <= delta.Cursor.Revision {
+			changes = m.remove(changes, kv, delta.Cursor.Revision)
+		}
+	}
+	for _, kv := range delta.Entries {
+		if old, ok := m.items[kv.Key]; !ok || old.ModRevision <= delta.Cursor.Revision && old.ModRevision != kv.ModRevision {
+			m.setItem(kv)
+			changes = append(changes, Change{KeyValue: kv})
+		}
+	}
+	// Entries that the other daemon withholds aren't known here.
+	m.revision, m.listedGeneration, m.replaced = delta.Cursor.Revision, 0, true
+	m.config.Log.Info("copy replaced by that of another daemon", "prefix", m.config.Prefix, "revision", store.Local(m.revision), "changes", len(changes))
+	return changes
+}
+
 // withhold reports whether an entry may be older than what the copy knows, and records it.
 // reconcile is the result of beginGeneration. The caller holds the lock.
 func (m *Mirror) withhold(kv store.KeyValue, reconcile bool) bool {
