--- a/internal/mirror/delta.go
+++ b/internal/mirror/delta.go
@@ -205,13 +205,22 @@
 		return false
 	}
 	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
-	deletedBefore := m.beginGeneration(delta.Cursor.Revision)
+	reconcile := m.beginGeneration(delta.Cursor.Revision, false)
+	if delta.Whole && m.provisional(m.config.Now()) {
+		changes = m.replace(changes, delta)
+	}
+	gone := map[string]bool{}
+	for _, r := range delta.Pending {
+		gone[r.Key] = true
+	}
 	for _, kv := range delta.Entries {
-		// An entry of a revision that this copy includes, and does not have, was deleted.
-		if _, present := m.items[kv.Key]; !present && kv.ModRevision <= m.revision {
+		// An entry of a revision that this copy includes, and does not have, was deleted, unless
+		// the other copy is no older: then that daemon has withheld it.
+		deleted := kv.ModRevision <= m.revision && (delta.Cursor.Revision < m.revision || gone[kv.Key])
+		if _, present := m.items[kv.Key]; !present && deleted {
 			continue
 		}
-		if m.withhold(kv, deletedBefore) {
+		if m.withhold(kv, reconcile) {
 			continue
 		}
 		changes = m.put(changes, kv)
@@ -236,7 +245,7 @@
 		}
 	}
 	changes = m.applyPending(changes, delta.Pending)
-	if deletedBefore != nil {
+	if reconcile {
 		m.logReconciled(delta.Cursor.Revision)
 	}
 	complete := delta.Digest == 0 || delta.Digest == m.digest
@@ -265,13 +274,16 @@
 // older revision, was current at currentAt. This mirror does not poll the store
 // until relayTimeout after relayedAt.
 func (m *Mirror) SetRelayedCurrent(currentAt, relayedAt time.Duration) {
-	m.config.Contact.answered(currentAt, currentAt, m.config.Now())
-	if int64(relayedAt) > m.relayedAt.Load() {
-		m.relayedAt.Store(int64(relayedAt))
-	}
-	if int64(currentAt) > m.currentAt.Load() {
-		m.currentAt.Store(int64(currentAt))
-	}
+	m.SetRelayedContact(currentAt)
+	raise(&m.relayedAt, relayedAt)
+	raise(&m.currentAt, currentAt)
+}
+
+// SetRelayedContact records that the store answered another daemon at the given time. It may
+// be later than the time at which the mirror of that daemon was current; see ContactAge.
+func (m *Mirror) SetRelayedContact(at time.Duration) {
+	m.config.Contact.answered(at, at, m.config.Now())
+	raise(&m.answeredAt, at)
 }
 
 // Relayed reports whether updates currently come from another daemon.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -43,6 +43,11 @@
 	// expiryGrace is how long entries that disappeared around an outage of the store are
 	// kept after the last failed call.
 	expiryGrace = rewriteTime + 300*time.Millisecond
+	// settledMargin is the time after the settling time of a restored store at which a poll
+	// ends.
+	settledMargin = 10 * time.Millisecond
+	// silenceTime is the time after which the entry of an owner that is gone is removed.
+	silenceTime = 4 * time.Second
 	// expiryTime is the shortest outage in which an entry can expire: owners write about
 	// every second, and an entry expires after three missed writes.
 	expiryTime = 2 * time.Second
@@ -105,6 +110,9 @@
 	// Unreconciled reports whether the contents of the store count at once for a key, also
 	// just after a restore. Nil means never.
 	Unreconciled func(key string) bool
+	// OnFirstList is called when the changes of the first list have been published. Nil means
+	// that it isn't needed.
+	OnFirstList func()
 	// OnConnectivityChange is called when a call to the store fails, and when the
 	// first call after a failure succeeds: polls that were sent in between may never
 	// be answered. It must not block.
@@ -138,11 +146,14 @@
 	pendingRemovals map[string]pendingRemoval
 	withheld        map[string]int64 // revisions of listed entries that are not in the copy; see withhold
 	revision        int64
+	deletedBefore   map[string]bool // keys that were deleted before the latest restore
 	// listedGeneration is the generation of the store at the latest list.
 	listedGeneration int64
+	replaced         bool // see Provisional
 
 	// The times are values of Now(); 0 means never.
 	currentAt     atomic.Int64 // latest time at which the copy is known to be current
+	answeredAt    atomic.Int64 // latest time at which the copy is known to be that of the store
 	lastFailureAt atomic.Int64 // latest failed call
 	synced        atomic.Bool
 	failing       atomic.Bool   // the latest call got no reply
@@ -165,7 +176,7 @@
 		config.Contact = &Contact{}
 	}
 	return &Mirror{
-		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{}, withheld: map[string]int64{},
+		config: config, items: map[string]store.KeyValue{}, digest: emptyDigest, pendingRemovals: map[string]pendingRemoval{}, withheld: map[string]int64{}, deletedBefore: map[string]bool{},
 		interrupts: make(chan struct{}, 1),
 	}
 }
@@ -180,6 +191,17 @@
 	return m.config.Now() - currentAt, true
 }
 
+// ContactAge returns how long ago the copy was last known to be that of the store, and false
+// if it never was. The store may lack the latest writes of its owners after a restore: only
+// Age counts for what depends on these.
+func (m *Mirror) ContactAge() (time.Duration, bool) {
+	answeredAt := time.Duration(m.answeredAt.Load())
+	if answeredAt == 0 {
+		return 0, false
+	}
+	return m.config.Now() - answeredAt, true
+}
+
 // Synced reports whether the store has been listed once.
 func (m *Mirror) Synced() bool { return m.synced.Load() }
 
@@ -215,11 +237,12 @@
 	var retryDelay time.Duration
 	listed := false
 	for ctx.Err() == nil {
+		listed = listed && !m.withheldTooLong()
 		if listed && (m.Relayed() && !m.PollRequired() || m.heldOff()) {
 			m.pause(ctx, relayCheckInterval)
 			continue
 		}
-		listed = listed && !m.needsList()
+		listed = listed && !m.behindGeneration()
 		var err error
 		if !listed {
 			err = m.list(ctx)
@@ -229,12 +252,12 @@
 			if errors.Is(err, store.ErrCompacted) {
 				m.config.Log.Warn("store history lost, list again", "revision", m.Revision())
 				listed = false
-				err = nil
+				continue
 			}
 		}
 		pause := m.config.PollPause()
 		if err != nil && ctx.Err() == nil {
-			if m.lastFailureAt.Load() <= m.currentAt.Load() {
+			if m.lastFailureAt.Load() <= m.answeredAt.Load() {
 				m.config.Log.Warn("dependency lost", "dependency", "store", "prefix", m.config.Prefix, "error", err)
 			}
 			m.lastFailureAt.Store(int64(m.config.Now()))
@@ -284,7 +307,7 @@
 	if m.config.HoldOff == nil || !m.config.HoldOff() {
 		return false
 	}
-	return m.config.Now()-time.Duration(m.currentAt.Load()) < maxHoldOff
+	return m.config.Now()-time.Duration(m.answeredAt.Load()) < maxHoldOff
 }
 
 // list lists the store and updates the copy. Entries that are not in the list are
@@ -309,10 +332,10 @@
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
-	deleted := m.beginGeneration(revision)
+	reconcile := m.beginGeneration(revision, true)
 	for _, kv := range entries {
 		present[kv.Key] = true
-		if !m.withhold(kv, deleted) {
+		if !m.withhold(kv, reconcile) {
 			changes = m.put(changes, kv)
 		}
 	}
@@ -326,16 +349,19 @@
 			delete(m.withheld, key)
 		}
 	}
-	if deleted != nil {
+	if reconcile {
 		m.logReconciled(revision)
 	}
 	m.revision, m.listedGeneration = max(m.revision, revision), store.Generation(revision)
 	m.mu.Unlock()
 	m.publish(changes)
+	if m.config.OnFirstList != nil && !m.Synced() {
+		m.config.OnFirstList()
+	}
 	m.setCurrent(sent)
 	m.synced.Store(true)
 	if m.config.PauseAfterList {
-		m.SetRelayedCurrent(sent, sent)
+		raise(&m.relayedAt, sent)
 	}
 	return nil
 }
@@ -349,6 +375,9 @@
 	if due, pending := m.nextRemovalDue(); pending {
 		wait = min(wait, max(due-m.config.Now(), m.config.PollPause()))
 	}
+	if until, settling := m.config.Contact.settling(m.config.Now()); settling {
+		wait = min(wait, until-m.config.Now()+settledMargin).Truncate(time.Millisecond) // to be current soon after
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollReplyMargin)
 	defer cancel()
 	after := m.Revision()
@@ -425,12 +454,20 @@
 	}
 }
 
-// setCurrent records that the copy was current at the given time and that the
-// store has replied.
+// raise sets a time to a later one.
+func raise(at *atomic.Int64, to time.Duration) {
+	if int64(to) > at.Load() {
+		at.Store(int64(to))
+	}
+}
+
+// setCurrent records that the copy was that of the store at the given time and that the
+// store has replied. The copy was current then unless the store was restored just before.
 func (m *Mirror) setCurrent(at time.Duration) {
-	recovered := m.lastFailureAt.Load() > m.currentAt.Load()
-	if int64(at) > m.currentAt.Load() {
-		m.currentAt.Store(int64(at))
+	recovered := m.lastFailureAt.Load() > m.answeredAt.Load()
+	raise(&m.answeredAt, at)
+	if until, settling := m.config.Contact.settling(m.config.Now()); !settling && at >= until {
+		raise(&m.currentAt, at)
 	}
 	m.polledAt.Store(int64(at))
 	m.failing.Store(false)
