--- a/internal/metering/restore_test.go
+++ b/internal/metering/restore_test.go
@@ -49,7 +49,7 @@
 	for name, beforeFirstPlan := range map[string]bool{"without a plan": true, "with an older plan": false} {
 		t.Run("same holder, copy "+name, func(t *testing.T) {
 			f := newFixture()
-			h := &holder{token: store.InGeneration[int64](1, 1)}
+			h := &holder{token: store.InGeneration(1, 1)}
 			r := f.restoredReporter(h)
 			copied := f.store.Snapshot()
 			f.run(t, r, 6400*time.Millisecond)
@@ -60,7 +60,7 @@
 			for g := int64(2); g <= 4; g++ { // several restores in a row
 				f.store.Restore(copied)
 				f.counts = map[string]int64{"acme": 5 + g}
-				h.token, h.predecessor = store.InGeneration[int64](g, 3), h.token
+				h.token, h.predecessor = store.InGeneration(g, 3), h.token
 				f.run(t, r, time.Second)
 			}
 			f.run(t, r, 10*time.Second)
@@ -69,7 +69,7 @@
 		})
 		t.Run("other holder, copy "+name, func(t *testing.T) {
 			f := newFixture()
-			h := &holder{token: store.InGeneration[int64](1, 1)}
+			h := &holder{token: store.InGeneration(1, 1)}
 			copied := f.store.Snapshot()
 			r := f.restoredReporter(h)
 			f.run(t, r, 6400*time.Millisecond)
@@ -80,7 +80,7 @@
 			h.token = 0
 			f.store.Restore(copied)
 			f.counts = map[string]int64{"acme": 7}
-			f.run(t, f.restoredReporter(&holder{token: store.InGeneration[int64](2, 3)}), 15*time.Second)
+			f.run(t, f.restoredReporter(&holder{token: store.InGeneration(2, 3)}), 15*time.Second)
 			f.expectOneReportPerWindow(t, 4)
 		})
 	}
@@ -92,14 +92,14 @@
 	for name, refused := range map[string]bool{"executed": false, "not executed": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
-			h := &holder{token: store.InGeneration[int64](1, 1)}
+			h := &holder{token: store.InGeneration(1, 1)}
 			r := f.restoredReporter(h)
 			copied := f.store.Snapshot()
 			f.cloud.fail, f.cloud.failAfterEffect = errors.WithStack(cloudduty.ErrUnknown), !refused
 			f.run(t, r, 6400*time.Millisecond)
 			f.store.Restore(copied)
 			f.counts, f.cloud.fail, f.cloud.failAfterEffect = map[string]int64{"acme": 7}, nil, false
-			h.token, h.predecessor = store.InGeneration[int64](2, 3), h.token
+			h.token, h.predecessor = store.InGeneration(2, 3), h.token
 			f.run(t, r, 400*time.Millisecond)
 			f.expectOneReportPerWindow(t, 1)
 			NewWithT(t).Expect(f.cloud.reports).To(HaveKeyWithValue(firstWindow, map[string]int64{"acme": 5}))
@@ -117,16 +117,16 @@
 	for name, sameHolder := range map[string]bool{"same holder": true, "other holder": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
-			h := &holder{token: store.InGeneration[int64](1, 1)}
+			h := &holder{token: store.InGeneration(1, 1)}
 			r := f.restoredReporter(h)
 			copied := f.store.Snapshot()
 			f.run(t, r, 6400*time.Millisecond)
 			f.store.Restore(copied)
 			if sameHolder {
-				h.token, h.predecessor = store.InGeneration[int64](2, 3), h.token
+				h.token, h.predecessor = store.InGeneration(2, 3), h.token
 			} else {
 				h.token = 0
-				r = f.restoredReporter(&holder{token: store.InGeneration[int64](2, 3)})
+				r = f.restoredReporter(&holder{token: store.InGeneration(2, 3)})
 			}
 			f.putLate(t, late)
 			f.run(t, r, 5*time.Second)
@@ -141,15 +141,15 @@
 // Guards against a plan that only its holder knows: the next holder would skip windows.
 func TestPlanIsWrittenAgainAfterARestore(t *testing.T) {
 	f := newFixture()
-	h := &holder{token: store.InGeneration[int64](1, 1)}
+	h := &holder{token: store.InGeneration(1, 1)}
 	r := f.restoredReporter(h)
 	copied := f.store.Snapshot()
 	f.run(t, r, 6400*time.Millisecond)
 	f.store.Restore(copied)
-	h.token, h.predecessor = store.InGeneration[int64](2, 3), h.token
+	h.token, h.predecessor = store.InGeneration(2, 3), h.token
 	f.run(t, r, 400*time.Millisecond)
 	h.token = 0
-	f.run(t, f.restoredReporter(&holder{token: store.InGeneration[int64](2, 5)}), 10*time.Second)
+	f.run(t, f.restoredReporter(&holder{token: store.InGeneration(2, 5)}), 10*time.Second)
 	f.expectOneReportPerWindow(t, 3)
 }
 
--- a/internal/rollout/restore_test.go
+++ b/internal/rollout/restore_test.go
@@ -44,12 +44,12 @@
 	r.predecessor = r.token
 	r.token = 0
 	_ = r.duty.Step(t.Context())
-	r.token = store.InGeneration(generation, int64(20))
+	r.token = store.InGeneration(generation, 20)
 	if !sameHolder {
 		r.predecessor = 0
 		r.duty = r.newDuty()
 	}
-	r.order.Revision = store.InGeneration(generation, int64(9))
+	r.order.Revision = store.InGeneration(generation, 9)
 	r.duty.SetOrder(r.order)
 }
 
@@ -134,9 +134,9 @@
 // Guards against daemons that have an order under its revision before a restore, and don't
 // follow the coordinator that has it under the one after, or the other way round.
 func TestOrderBeforeAndAfterARestoreIsOne(t *testing.T) {
-	before := rollout.Order{Service: "s", Target: "v2", Within: 15 * time.Second, Revision: store.InGeneration(1, int64(50))}
+	before := rollout.Order{Service: "s", Target: "v2", Within: 15 * time.Second, Revision: store.InGeneration(1, 50)}
 	after := before
-	after.Revision = store.InGeneration(2, int64(40))
+	after.Revision = store.InGeneration(2, 40)
 	for name, orders := range map[string][2]rollout.Order{"daemon before": {before, after}, "daemon after": {after, before}} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -24,7 +24,7 @@
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{revision: store.InGeneration(1, int64(1)), items: map[string]store.KeyValue{}}
+	return &Memory{revision: store.InGeneration(1, 1), items: map[string]store.KeyValue{}}
 }
 
 // LoseNextReply makes the next write take effect but return ErrOutcomeUnknown, as
