Lease: continue the duty while the mirror still has the claim before a restore

The holder of the time before a restore of the store claims the duty again at once, but only as a candidate. An edge daemon is none while its mirror shows a holder, and the mirror keeps the lost claim for its settling time, so that the duty stayed vacant: callers get less of their quota, and no one controls roll-outs, in that time. A holder that had the duty when the store was restored now claims it whether it is a candidate or not, as it also keeps the duty when it is no longer one.

TestHolderClaimsAgainWhileItIsNoCandidate before: "the condition did not hold within 7.5s". It passes now, as does the package.

--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -325,7 +325,7 @@
 // campaign tries once to acquire the duty if the daemon is a candidate and no
 // daemon holds the duty. If one does, the campaign costs one read.
 func (h *Holder) campaign(ctx context.Context) {
-	if !h.config.Candidate() {
+	if !h.mayCampaign() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.ttlFraction(campaignFraction))
@@ -361,6 +361,15 @@
 	h.setHeld(token, generation, deadlineFrom(sent, h.config.TTL))
 }
 
+// mayCampaign reports whether this daemon is a candidate. One that had the duty when the store
+// was restored continues it.
+func (h *Holder) mayCampaign() bool {
+	h.mu.Lock()
+	inherited := h.inherited
+	h.mu.Unlock()
+	return inherited != 0 || h.config.Candidate()
+}
+
 // isOwnClaim reports whether the duty's key holds a claim of this Holder that it has given
 // up: one that a restore of the store has brought back, or that was executed late. Its lease
 // may be another's by now, so that it wouldn't expire.
--- a/pkg/lease/holder_test.go
+++ b/pkg/lease/holder_test.go
@@ -408,6 +408,21 @@
 	}
 }
 
+// Guards against a duty that is vacant after a restore until its holder's mirror of the store
+// no longer shows the claim that was lost, so that it counts as no candidate.
+func TestHolderClaimsAgainWhileItIsNoCandidate(t *testing.T) {
+	var vacant atomic.Bool
+	vacant.Store(true)
+	c := newElection(2, func(int) bool { return vacant.Load() })
+	defer c.stop()
+	c.waitUntil(t, time.Minute, c.held)
+	first := c.current()
+	before := c.holders[first].Token()
+	vacant.Store(false)
+	c.store.restore(lease.Entry{}, 0)
+	c.waitUntil(t, lease.DefaultTTL*3/4, func() bool { return c.holders[first].Token() > before })
+}
+
 // Guards against a holder that takes what it did before a restore for all that was done:
 // another one had the duty in a generation in between, or since.
 func TestPredecessorIsKnownOnlyToTheSuccessorOfItself(t *testing.T) {
