Coordination: keep quotas and usage counts across restores of the store

A new fencing token makes the coordinator start anew: each account gets a new bucket with the level that a change of the holder allows, and the usage counts come from the store. After a restore the holder continues under another token and nobody else had the duty, so that neither is due: in a series of restores each one granted some quota again, and counts of a daemon that has died since the copy was made were lost. Operators would see a quota exceeded, or usage that is too low.

The coordinator now keeps its state if its last token was the predecessor of the present one. Buckets aren't refilled for the time without the duty, in which daemons use their fallback quota.

TestCountsOfADeadDaemonSurviveARestore: no counts instead of 10.

--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -17,6 +17,7 @@
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/store/storetest"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/traffic"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
@@ -34,6 +35,7 @@
 	coordinators []*coordination.Coordinator
 	persisters   []*coordination.UsagePersister
 	tokens       []int64
+	predecessors []int64 // of the tokens
 	agents       []*coordination.Agent
 	links        []*testLink
 	guards       []*crashguard.Guard
@@ -121,9 +123,9 @@
 
 // newFleetFrom returns n daemons of the given incarnation that share a clock and
 // a store.
-func newFleetFrom(n int, incarnation int64, clock *clockwork.FakeClock, store *storetest.Memory, account *traffic.Account, overrun float64) *testFleet {
+func newFleetFrom(n int, incarnation int64, clock *clockwork.FakeClock, memory *storetest.Memory, account *traffic.Account, overrun float64) *testFleet {
 	f := &testFleet{
-		account: account, overrun: overrun, clock: clock, start: clock.Now(), store: store, tokens: make([]int64, n), rates: make([]float64, n),
+		account: account, overrun: overrun, clock: clock, start: clock.Now(), store: memory, tokens: make([]int64, n), predecessors: make([]int64, n), rates: make([]float64, n),
 		table: traffic.NewTable(1, nil, nil, []*traffic.Account{account}, nil, traffic.Limits{}),
 	}
 	log := slog.New(slog.DiscardHandler)
@@ -132,7 +134,7 @@
 		f.guards = append(f.guards, guard)
 		f.names = append(f.names, coordination.DaemonID(fmt.Sprintf("d%d", i), incarnation))
 		config := coordination.CoordinatorConfig{
-			Log: log, Token: func() int64 { return f.tokens[i] }, Table: func() *traffic.Table { return f.table },
+			Log: log, Token: func() int64 { return f.tokens[i] }, Predecessor: func() int64 { return f.predecessors[i] }, Table: func() *traffic.Table { return f.table },
 			Crashes: guard, Now: f.now, Civil: clock.Now, Daemons: func() int { return n }, KnownDaemons: func() int { return n }, Members: func() []string { return f.names },
 			Rollouts:       func() []*coordinatorv1.RolloutState { return nil },
 			Slack:          func() float64 { return slack / 2 },
@@ -187,6 +189,16 @@
 	}
 }
 
+// restoreStore restores the store from an older copy. The coordinator keeps the duty, with
+// the next token.
+func (f *testFleet) restoreStore() {
+	for i, token := range f.tokens {
+		if token != 0 {
+			f.predecessors[i], f.tokens[i] = token, store.InGeneration(store.Generation(token)+1, 1)
+		}
+	}
+}
+
 // tick advances the clock by 125 ms and has each daemon report.
 func (f *testFleet) tick(t *testing.T) {
 	f.clock.Advance(125 * time.Millisecond)
@@ -254,6 +266,11 @@
 					rotateCoordinator(f, tick, 24)
 				}
 			},
+			"restores of the store": func(f *testFleet, tick int) {
+				if tick%6 == 5 {
+					f.restoreStore()
+				}
+			},
 			"borrows cut":           func(f *testFleet, tick int) { f.cutBorrows(tick > 60) },
 			"borrows fail at times": func(f *testFleet, tick int) { f.cutBorrows(tick%3 > 0) },
 			"one cut":               func(f *testFleet, tick int) { f.links[1].cut = tick > 60 },
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -54,8 +54,12 @@
 	// Token returns the fencing token of the coordinator duty, 0 while this
 	// daemon doesn't hold the duty.
 	Token func() int64
-	Table func() *traffic.Table // nil until there is a configuration
-	Now   func() time.Duration  // monotonic, includes time in suspension
+	// Predecessor returns the token that this daemon had when the store was restored from an
+	// older copy, if nobody else has had the duty since, and 0 otherwise; nil means that the
+	// store isn't restored.
+	Predecessor func() int64
+	Table       func() *traffic.Table // nil until there is a configuration
+	Now         func() time.Duration  // monotonic, includes time in suspension
 	// Daemons returns the number of live daemons.
 	Daemons func() int
 	// KnownDaemons returns the largest number of daemons known lately. What daemons may use
@@ -181,6 +185,12 @@
 	if token == 0 {
 		return status.Error(codes.FailedPrecondition, "this daemon is not the coordinator")
 	}
+	if token != c.token && c.continues() {
+		c.token, c.loads.token = token, token
+		for _, b := range c.buckets { // without the duty, daemons use their fallback quota
+			b.refilled = c.config.Now()
+		}
+	}
 	if token != c.token {
 		c.token = token
 		c.acquired = c.config.Now()
@@ -195,6 +205,12 @@
 	return nil
 }
 
+// continues reports whether the state was collected under the last token before a restore of
+// the store, and nobody else has had the duty since. The caller holds the lock.
+func (c *Coordinator) continues() bool {
+	return c.token != 0 && c.config.Predecessor != nil && c.config.Predecessor() == c.token
+}
+
 // Report implements coordinatorv1.CoordinatorServer.
 func (c *Coordinator) Report(_ context.Context, r *coordinatorv1.ReportRequest) (*coordinatorv1.ReportResponse, error) {
 	c.mu.Lock()
--- a/internal/coordination/usagebase_test.go
+++ b/internal/coordination/usagebase_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/store"
 )
 
 // unwrittenUsage returns a fleet whose coordinator has received 10 requests of an account
@@ -67,3 +69,31 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(counts["acme"]).To(Equal(int64(10)))
 }
+
+// Guards against counts that only the coordinator has, because their daemon has died, and
+// that it drops when it continues after a restore of the store.
+func TestCountsOfADeadDaemonSurviveARestore(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	f.setCoordinator(0, 1)
+	f.tick(t)
+	copied := f.store.Snapshot()
+	window := f.clock.Now().UnixNano() / int64(5*time.Second)
+	for range 10 {
+		f.agents[2].RequestStarted("acme")
+	}
+	f.tick(t)
+	f.links[2].cut = true
+	f.store.Restore(copied)
+	f.restoreStore()
+	for range 4 {
+		f.tick(t)
+	}
+	counts, known, _ := f.coordinators[0].Counts(window, f.clock.Now())
+	g.Expect(known).To(BeTrue())
+	g.Expect(counts).To(HaveKeyWithValue("acme", int64(10)))
+	f.setCoordinator(1, store.InGeneration(2, 9))
+	f.report(t)
+	counts, _, _ = f.coordinators[1].Counts(window, f.clock.Now())
+	g.Expect(counts).To(HaveKeyWithValue("acme", int64(10)), "the counts were not written again")
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -237,7 +237,7 @@
 func (d *Daemon) buildCoordination() {
 	s := d.settings
 	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
-		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
+		Log: d.log, Token: d.holder.Token, Predecessor: d.holder.Predecessor, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
 		KnownDaemons:   d.members.limitCount,
 		AddMirrorDelta: d.addMirrorDelta,
 		Members:        d.members.reportIDs, Civil: d.civil.Now,
