Crash record: write it again after a restore of the store

After the store was restored from a copy without the record of crashes, the coordinator wrote it again only when it learned something new. After a loss of power in between, daemons would send requests with a known dangerous part to instances again. The coordinator skipped the check of the record while its own knowledge was the same as at the last write. It now makes the check for 10 s after the store's generation has changed.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/coordination"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
@@ -26,6 +27,9 @@
 	crashRecordInterval = 500 * time.Millisecond
 	// crashRecordTimeout bounds a write of the record.
 	crashRecordTimeout = 800 * time.Millisecond
+	// crashRecordCheckTime is the time after a restore of the store within which the duty has
+	// a holder and the mirrors have what the store has.
+	crashRecordCheckTime = 10 * time.Second
 	// minRecordedCrashes is the number of crashes from which on a part is recorded. Most
 	// parts that were there at one crash have not caused it.
 	minRecordedCrashes = 2
@@ -36,9 +40,14 @@
 // keepCrashes writes the record of crashes while this daemon is the coordinator.
 func (d *Daemon) keepCrashes(ctx context.Context) error {
 	var written uint64 // digest of the guard at the last write
+	var generation int64
+	var checkUntil time.Duration
 	return duty.Every(ctx, crashRecordInterval, func(ctx context.Context) {
-		digest := d.crashGuard.Digest()
-		if !d.holder.Valid() || digest == written {
+		now, digest := bootclock.Now(), d.crashGuard.Digest()
+		if current := store.CurrentGeneration(d.platform.Store); current != generation {
+			generation, checkUntil = current, now+crashRecordCheckTime
+		}
+		if !d.holder.Valid() || digest == written && now > checkUntil {
 			return
 		}
 		if err := d.writeCrashes(ctx); err != nil {
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -11,8 +11,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/bootclock"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/mirror"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/settings"
+	"github.com/dogwoodrudder/dogwoodrudder/pkg/crashguard"
 	"github.com/dogwoodrudder/dogwoodrudder/platform"
 	"github.com/dogwoodrudder/dogwoodrudder/test/knownred"
 	standin "github.com/dogwoodrudder/dogwoodrudder/test/standin/platform"
@@ -169,3 +171,28 @@
 	const inForce = 2 * time.Second
 	g.Eventually(f.versions, inForce, 10*time.Millisecond).Should(Equal(map[int64]int{22: 5}))
 }
+
+// The store is restored from a copy without the records of the coordinator. Guards against
+// records that are not written again while nothing changes: after a loss of power, daemons
+// sent requests with a known dangerous part again.
+func TestRecordsAreWrittenAgainAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	f := startRestoredFleet(t, 3)
+	for _, d := range f.daemons {
+		go func() { _ = d.keepCrashes(t.Context()) }()   // ends with the context
+		go func() { _ = d.keepFleetSize(t.Context()) }() // ends with the context
+	}
+	snapshot := f.store.Snapshot()
+	for i, d := range f.daemons {
+		now := bootclock.Now()
+		d.crashGuard.Crashed(uint64(i), now, []crashguard.Request{{Service: "s", Account: fmt.Sprint(i), Parts: []string{"deadly"}, Sent: now}})
+	}
+	recorded := func() bool {
+		record, err := decodeCrashRecord(f.store.Value(crashesKey))
+		return err == nil && len(record.Parts) == 1 && len(record.Parts[0].Crashes) == 3 && string(f.store.Value(fleetSizeKey)) == "3"
+	}
+	g.Eventually(recorded, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.restore(snapshot)
+	g.Expect(recorded()).To(BeFalse())
+	g.Eventually(recorded, 10*time.Second, 10*time.Millisecond).Should(BeTrue())
+}
