Soak: restores of the store from older copies

--restores plays series of restores, one to three in a row, from copies of up to 5 s, after outages of up to 1.5 s, beside kills, stops, freezes and cuts of a daemon (the holder of the duty in half of the cases), lost, late and slow answers, an outage of the cloud, and changes of the configuration, of a key and of workers. The stand-in operator and workers write again what was lost, each entry 0 to 2 s later.

Each configuration has a route of its own. Checked are, beside what was before: no request on a route of an older configuration after a later one was in force at the same process, or after its bound; the route of the latest one is found in time; usage is reported again at the end.

--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -44,7 +44,7 @@
 	fail := func(format string, args ...any) {
 		violations = append(violations, fmt.Sprintf("%s %s (status %d, %v): ", o.kind, o.id, o.status, o.err)+fmt.Sprintf(format, args...))
 	}
-	repeatable := o.kind == "lookups" || o.kind == "queries"
+	repeatable := o.kind == "lookups" || o.kind == "queries" || o.version != 0
 	if !repeatable && len(runs) > 1 {
 		fail("ran %d times", len(runs))
 	}
@@ -59,7 +59,7 @@
 			fail("worker got path %s and %d bytes", run.Path, run.Body)
 		}
 	}
-	if at, revoked := record.revoked[o.account]; revoked && o.sent.After(at.Add(maxRevocationTime)) && len(runs) > 0 {
+	if at, revoked := record.revoked[o.account]; revoked && o.sent.After(at.Add(maxRevocationTime)) && len(runs) > 0 && !record.inTrouble(o, maxApplyTime) {
 		fail("ran %s after its key was removed", o.sent.Sub(at))
 	}
 	if o.status == http.StatusOK {
@@ -73,7 +73,7 @@
 // expectedBody returns the end of the body that a healthy worker sends: for a
 // streaming kind the whole body.
 func expectedBody(o outcome) string {
-	if o.kind == "orders" || o.kind == "lookups" {
+	if o.kind == "orders" || o.kind == "lookups" || o.version != 0 {
 		return " ran " + o.id
 	}
 	var b strings.Builder
@@ -88,7 +88,7 @@
 func successShare(outcomes []outcome, from, to time.Time) float64 {
 	succeeded, total := 0, 0
 	for _, o := range outcomes {
-		if o.account == "core" || o.sent.Before(from) || o.sent.After(to) {
+		if o.account == "core" || o.version != 0 || o.sent.Before(from) || o.sent.After(to) {
 			continue
 		}
 		total++
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -25,6 +25,7 @@
 	status  int // 0 if no complete response was received
 	body    string
 	err     error
+	version int64 // number of the only configuration that has the route; 0 if all have it
 }
 
 // clients send requests and record the outcomes.
@@ -71,6 +72,10 @@
 				id: fmt.Sprintf("c%d-%d", number, sequence), kind: kinds[random.IntN(len(kinds))],
 				account: accounts[random.IntN(len(accounts))], address: addresses[random.IntN(len(addresses))],
 			}
+			if c.cluster.gates && random.IntN(3) == 0 {
+				o.version = c.cluster.written.version(random)
+				o.kind = gateKind(o.version)
+			}
 			c.send(ctx, client, &o)
 			c.mu.Lock()
 			c.outcomes = append(c.outcomes, o)
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -50,6 +50,8 @@
 	addressPrefix string // first three numbers of the IP addresses
 	store         *platform.Store
 	cloud         *platform.Cloud
+	written       *writer
+	gates         bool // each configuration has a route of its own
 	daemons       []*daemon
 	workers       []*worker.Worker
 	servers       []*http.Server
@@ -58,6 +60,9 @@
 	rates         map[string]int    // quota in tokens per second by account, if not defaultRate
 }
 
+// usageWindow is the length of the windows that usage is reported of.
+const usageWindow = 5 * time.Second
+
 // defaultRate is the quota of an account in tokens per second. A request costs
 // one token.
 const defaultRate = 5000
@@ -66,11 +71,12 @@
 
 // newCluster starts the platform, the workers and the daemons. addressPrefix has
 // the first three numbers of loopback addresses that no other process uses.
-func newCluster(binary, dir, addressPrefix string, daemons int) (*cluster, error) {
+func newCluster(binary, dir, addressPrefix string, daemons int, gates bool) (*cluster, error) {
 	c := &cluster{
-		dir: dir, addressPrefix: addressPrefix, store: platform.NewStore(), cloud: platform.NewCloud(), configVersion: 1,
+		dir: dir, addressPrefix: addressPrefix, store: platform.NewStore(), cloud: platform.NewCloud(), gates: gates, configVersion: 1,
 		keys: map[string]string{"acme": "k-acme", "bolt": "k-bolt", "core": "k-core"},
 	}
+	c.written = newWriter(c.store)
 	storeAddress, err := c.serve(addressPrefix+".200:9100", c.store)
 	if err != nil {
 		return nil, err
@@ -136,18 +142,23 @@
 			"name": account, "apiKeys": []string{key}, "unit": "tokens", "uncachedTokens": 1, "ratePerS": rate, "burst": rate,
 		})
 	}
+	routes := []map[string]any{
+		route("orders", "non_idempotent", 2, false), route("lookups", "idempotent", 2, false),
+		route("reports", "streaming", 1, false), route("queries", "streaming", 3, true),
+	}
+	if c.gates {
+		gate := route(gateKind(c.configVersion), "idempotent", 2, false)
+		gate["service"] = "lookups"
+		routes = append(routes, gate)
+	}
 	value, err := json.Marshal(map[string]any{
-		"configVer": c.configVersion, "services": services, "tenants": tenants,
-		"routes": []map[string]any{
-			route("orders", "non_idempotent", 2, false), route("lookups", "idempotent", 2, false),
-			route("reports", "streaming", 1, false), route("queries", "streaming", 3, true),
-		},
+		"configVer": c.configVersion, "services": services, "tenants": tenants, "routes": routes,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	if err != nil {
 		panic(err) // plain values always encode
 	}
-	c.store.Put("op/config", value)
+	c.written.putVersion(c.configVersion, value)
 }
 
 // setQuota sets the quota of an account in tokens per second. All other accounts
@@ -171,7 +182,7 @@
 	}
 	w.Set(healthyBehaviour)
 	c.workers = append(c.workers, w)
-	c.store.Put("servers/"+id, w.Entry(zones[index%len(zones)], "ready"))
+	c.written.put("servers/"+id, w.Entry(zones[index%len(zones)], "ready"))
 	return nil
 }
 
@@ -194,7 +205,7 @@
 duties = metering
 [bounds]
 grace = 8s
-usage_window = 5s
+usage_window = %[11]s
 usage_lateness = 10s
 quota_slack = 1000
 `
@@ -203,7 +214,7 @@
 func (d *daemon) prepare(dir, zone, cloudAddress string) error {
 	d.settings = filepath.Join(dir, d.name+".ini")
 	text := fmt.Sprintf(settingsText, d.name, zone, d.ip, portCallers, portReady, portDirectory, portCoordinator,
-		portMetrics, portStore, cloudAddress)
+		portMetrics, portStore, cloudAddress, usageWindow)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
--- a/test/soak/explain_test.go
+++ b/test/soak/explain_test.go
@@ -103,7 +103,7 @@
 func TestCauseIsFoundFromTheRequestID(t *testing.T) {
 	rudderd, rudderctl := buildPrograms(t)
 	addressPrefix := fmt.Sprintf("127.%d.251", 64+os.Getpid()%64)
-	c, err := newCluster(rudderd, t.TempDir(), addressPrefix, 2)
+	c, err := newCluster(rudderd, t.TempDir(), addressPrefix, 2, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -20,6 +20,7 @@
 	revoked     map[string]time.Time // time of the revocation by account
 	removed     map[string]time.Time // time at which the entry was removed by worker ID
 	disturbed   map[string]time.Time // time of the latest fault of moveFaults by address of the daemon
+	troubles    []trouble            // faults of restoreFaults
 	onlyPlanned bool                 // all faults were planned operations
 	lines       []string             // one for each fault
 }
@@ -156,17 +157,17 @@
 // putOddEntries leaves odd entries among those of the workers.
 func putOddEntries(p *faultInjector) {
 	for i, value := range oddEntries {
-		p.cluster.store.Put(fmt.Sprintf("servers/odd-%d", i), []byte(value))
+		p.cluster.written.put(fmt.Sprintf("servers/odd-%d", i), []byte(value))
 	}
 }
 
 // copyEntry leaves a copy of a worker's entry under another ID.
 func copyEntry(p *faultInjector) {
 	p.worker = p.randomWorker()
-	p.cluster.store.Put("servers/copy", p.worker.Entry(zones[0], "ready"))
+	p.cluster.written.put("servers/copy", p.worker.Entry(zones[0], "ready"))
 }
 
-func removeCopy(p *faultInjector) { p.cluster.store.Delete("servers/copy") }
+func removeCopy(p *faultInjector) { p.cluster.written.remove("servers/copy") }
 
 // announceLeaving starts a successor of a random worker and then announces in the
 // store that the worker leaves.
@@ -179,7 +180,7 @@
 		p.record.lines = append(p.record.lines, "successor not started: "+err.Error())
 		return
 	}
-	p.cluster.store.Put("servers/"+w.ID, w.Entry(zones[0], "draining"))
+	p.cluster.written.put("servers/"+w.ID, w.Entry(zones[0], "draining"))
 	p.record.leaving[w.ID] = time.Now()
 }
 
--- a/test/soak/moves.go
+++ b/test/soak/moves.go
@@ -144,7 +144,7 @@
 		m.log("successor not started: %v", err)
 	}
 	time.Sleep(time.Until(began.Add(leaveAt)))
-	m.cluster.store.Delete("servers/" + w.ID)
+	m.cluster.written.remove("servers/" + w.ID)
 	removed := time.Now()
 	m.record.removed[w.ID] = removed
 	m.log("the entry of %s is removed", w.ID)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -17,17 +17,18 @@
 
 // options are the flags of the command.
 type options struct {
-	Binary  string        `required:"" help:"Path of rudderd." type:"existingfile"`
-	Seed    uint64        `default:"0" help:"First seed; 0 takes one from the clock."`
-	Seeds   int           `default:"1" help:"Number of seeds."`
-	Length  time.Duration `default:"15s" help:"Time with faults for each seed."`
-	Daemons int           `default:"4" help:"Number of daemons."`
-	Clients int           `default:"12" help:"Number of clients."`
-	Planned bool          `help:"Only planned operations: stops, leaving workers, revoked keys, configurations."`
-	Trouble bool          `help:"Adds faults of workers in trouble and of other writers: pauses, bytes without end, odd entries."`
-	Broken  bool          `help:"Adds workers that send malformed answers, four times as often as other faults."`
-	Moves   bool          `help:"Plays series in which the coordinator loses the store, a worker leaves, and the duty moves, instead of other faults."`
-	Keep    string        `default:"" help:"Folder that keeps the logs of failed seeds."`
+	Binary   string        `required:"" help:"Path of rudderd." type:"existingfile"`
+	Seed     uint64        `default:"0" help:"First seed; 0 takes one from the clock."`
+	Seeds    int           `default:"1" help:"Number of seeds."`
+	Length   time.Duration `default:"15s" help:"Time with faults for each seed."`
+	Daemons  int           `default:"4" help:"Number of daemons."`
+	Clients  int           `default:"12" help:"Number of clients."`
+	Planned  bool          `help:"Only planned operations: stops, leaving workers, revoked keys, configurations."`
+	Trouble  bool          `help:"Adds faults of workers in trouble and of other writers: pauses, bytes without end, odd entries."`
+	Broken   bool          `help:"Adds workers that send malformed answers, four times as often as other faults."`
+	Moves    bool          `help:"Plays series in which the coordinator loses the store, a worker leaves, and the duty moves, instead of other faults."`
+	Restores bool          `help:"Plays series in which the store comes back from older copies, beside other faults, instead of other faults."`
+	Keep     string        `default:"" help:"Folder that keeps the logs of failed seeds."`
 }
 
 // result is the result of the run of one seed.
@@ -51,7 +52,7 @@
 // runSeed runs one seed. Settings and logs are written to dir.
 func runSeed(o options, seed uint64, dir string) (result, error) {
 	addressPrefix := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%64, seed%250)
-	c, err := newCluster(o.Binary, dir, addressPrefix, o.Daemons)
+	c, err := newCluster(o.Binary, dir, addressPrefix, o.Daemons, o.Restores)
 	if err != nil {
 		return result{}, err
 	}
@@ -67,7 +68,7 @@
 		cluster: c, random: rand.New(rand.NewPCG(seed, 1)),
 		record: &faultLog{
 			leaving: map[string]time.Time{}, revoked: map[string]time.Time{}, removed: map[string]time.Time{},
-			disturbed: map[string]time.Time{}, onlyPlanned: !o.Moves,
+			disturbed: map[string]time.Time{}, onlyPlanned: !o.Moves && !o.Restores,
 		},
 	}
 	faultsBegan := time.Now()
@@ -78,9 +79,14 @@
 	if o.Broken {
 		kinds = slices.Concat(kinds, slices.Repeat(brokenFaults, 4*len(faults)))
 	}
-	if o.Moves {
-		(&moveFaults{cluster: c, random: p.random, record: p.record, began: faultsBegan}).run()
-	} else {
+	moves := moveFaults{cluster: c, random: p.random, record: p.record, began: faultsBegan}
+	switch {
+	case o.Moves:
+		moves.run()
+	case o.Restores:
+		c.cloud.SetUnfenced(p.random.IntN(2) == 0)
+		(&restoreFaults{moveFaults: moves}).run(o.Length)
+	default:
 		p.run(o.Length, kinds, func(f fault) bool { return !o.Planned || f.planned })
 	}
 	faultsEnded := time.Now()
@@ -92,6 +98,10 @@
 	r := result{violations: checkOutcomes(outcomes, c.workers, p.record, c.cloud.Problems()), faults: p.record.lines, requests: len(outcomes)}
 	r.violations = append(r.violations, checkRemoved(outcomes, c.workers, p.record)...)
 	r.violations = append(r.violations, c.exits()...)
+	if o.Restores {
+		r.violations = append(r.violations, checkVersions(outcomes, c.written, p.record)...)
+		r.violations = append(r.violations, checkReports(c.cloud.Reports())...)
+	}
 	r.faultShare = successShare(outcomes, faultsBegan, faultsEnded)
 	r.recoveredShare = successShare(outcomes, measureFrom, time.Now())
 	if p.record.onlyPlanned && r.faultShare < minPlannedShare {
--- a/test/standin/platform/cloud.go
+++ b/test/standin/platform/cloud.go
@@ -35,6 +35,7 @@
 	reports       map[int64]Report // by window
 	orders        []Order
 	problems      []string
+	unfenced      bool
 }
 
 // NewCloud returns a cloud that has received no calls.
@@ -47,6 +48,13 @@
 	c.down = down
 }
 
+// SetUnfenced makes the cloud accept calls with lower fencing tokens than earlier ones.
+func (c *Cloud) SetUnfenced(unfenced bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unfenced = unfenced
+}
+
 // SetNoReclaimable makes the cloud refuse requests for reclaimable instances.
 func (c *Cloud) SetNoReclaimable(refused bool) {
 	c.mu.Lock()
@@ -94,11 +102,11 @@
 		c.problems = append(c.problems, "fencing token "+strconv.FormatInt(token, 10)+" used by "+other+" and "+holder)
 	}
 	c.holders[token] = holder
-	if token < c.highestToken {
+	if token < c.highestToken && !c.unfenced {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	c.highestToken = token
+	c.highestToken = max(token, c.highestToken)
 	switch r.URL.Path {
 	case "/usage":
 		c.usage(w, r, holder, token)
