Roll-outs: tell an order after a restore from the one before

An order for a version that was reverted or completed earlier would get that outcome at once, and never begin, if the store was restored in between: records kept the revision of the order from before the restore, and orders of different generations of the store are one if they agree. The coordinator now writes the record with the revision that the order has in the restored store, once for each order and restore. A later order is then of the same generation and another one. Roll-outs from before the restore are no longer kept once they have been continued.

TestOrderAfterARestoreBeginsAnew before: status "reverted" instead of "active", for the same and the next holder. The package passes now.

--- a/internal/rollout/duty.go
+++ b/internal/rollout/duty.go
@@ -236,6 +236,9 @@
 	if r == nil || !order.same(r.record.order()) {
 		return d.begin(ctx, order)
 	}
+	if order.Revision > r.record.Revision {
+		return d.renumber(ctx, order, r)
+	}
 	if r.record.Outcome != Active {
 		return nil
 	}
@@ -280,7 +283,7 @@
 	}
 	isStored := order.same(r.record.order())
 	if earlier := d.recall(order, r); earlier != nil {
-		if !isStored || earlier.record.Outcome != r.record.Outcome {
+		if !isStored || earlier.record.Outcome != r.record.Outcome || earlier.record.Revision != r.record.Revision {
 			if err := d.write(ctx, order, earlier); err != nil {
 				return err
 			}
@@ -301,6 +304,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.tracked[order.Service] = r
+	delete(d.retained, order.Service)
+	return nil
+}
+
+// renumber writes the record with the revision that the order has since a restore of the
+// store. A later order for the same version is then told apart from it.
+func (d *Duty) renumber(ctx context.Context, order Order, r *trackedRollout) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	renumbered := *r
+	renumbered.record.Revision = order.Revision
+	if err := d.write(ctx, order, &renumbered); err != nil {
+		d.mu.Lock()
+		d.retained[order.Service] = r
+		d.mu.Unlock()
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracked[order.Service] = &renumbered
 	return nil
 }
 
@@ -324,7 +347,8 @@
 	d.mu.Unlock()
 	if retained != nil && order.same(retained.record.order()) {
 		recalled := *retained
-		recalled.recordRevision, recalled.record.Revision = stored.recordRevision, order.Revision
+		recalled.recordRevision = stored.recordRevision
+		recalled.record.Revision = max(recalled.record.Revision, order.Revision)
 		return &recalled
 	}
 	if d.config.Known == nil {
--- a/internal/rollout/restore_test.go
+++ b/internal/rollout/restore_test.go
@@ -131,6 +131,43 @@
 	g.Expect(r.status()).To(Equal("complete"), "15 s after the order")
 }
 
+// Guards against a new order for a version that is taken for the order before the restore,
+// so that it has the earlier outcome at once.
+func TestOrderAfterARestoreBeginsAnew(t *testing.T) {
+	for name, sameHolder := range map[string]bool{"same holder": true, "next holder": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRestored(1)
+			r.failing = func(time.Duration, float64) float64 { return 0.9 }
+			for range 100 {
+				r.step(t, 200)
+			}
+			g.Expect(r.status()).To(Equal("reverted"))
+			r.restore(t, r.store.Snapshot(), true)
+			r.step(t, 200)
+			r.step(t, 200)
+			if !sameHolder {
+				r.token += 5
+				r.predecessor = 0
+				r.splitter = rollout.NewSplitter()
+				r.evidence = r.splitter.Counters
+				r.splitter.SetOrder(r.order)
+				r.duty = r.newDuty()
+			}
+			r.failing = func(time.Duration, float64) float64 { return 0 }
+			r.order.Revision += 10
+			r.splitter.SetOrder(r.order)
+			r.duty.SetOrder(r.order)
+			r.step(t, 200)
+			g.Expect(r.status()).To(Equal("active"))
+			for range 110 {
+				r.step(t, 200)
+			}
+			g.Expect(r.status()).To(Equal("complete"))
+		})
+	}
+}
+
 // Guards against daemons that have an order under its revision before a restore, and don't
 // follow the coordinator that has it under the one after, or the other way round.
 func TestOrderBeforeAndAfterARestoreIsOne(t *testing.T) {
