Take the detour also for attempts that were in progress when the links were lost

What callers saw: at the begin of a cut, some requests had one more attempt without a connection, and waited up to 0.3 s more. Cause: an attempt to connect directly that ended after the loss was found out counted as one whose detour had failed too, though none had been tried. Result: TestAttemptInProgressTakesTheDetour failed in its cases 'lost meanwhile' and passes.

--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -35,7 +35,8 @@
 	if links == nil {
 		return p.direct(ctx, address)
 	}
-	if links.Lost() {
+	detoured := links.Lost()
+	if detoured {
 		c, err := p.indirect(ctx, address)
 		if err == nil || !errors.Is(err, ErrLinksLost) {
 			return c, err
@@ -48,7 +49,7 @@
 		return c, nil
 	}
 	switch {
-	case links.Lost():
+	case detoured && links.Lost():
 		return nil, errors.Wrapf(ErrLinksLost, "%v", err)
 	case ctx.Err() != nil || !links.Confirm(ctx, address, began):
 		return nil, err
