Close idle connections that the loss of links has made unusable

What operators would see: a daemon through which others had reached instances takes up to its whole grace period to stop, because idle tunnels stay open after the links are back. Cause: the pool closes idle connections only when it takes them out, and takes the latest first. Change: when the links are lost or restored, the pool closes the idle connections that it doesn't use any more: those before the loss if new ones hang, and those through other daemons afterwards. Result: TestDaemonWithoutLinksToInstancesServes now expects no open tunnel within 1 s of the restoration.

--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -166,6 +166,15 @@
 	return true
 }
 
+// tunnels returns the number of open tunnels.
+func (f *linkedFleet) tunnels() int {
+	sum := 0
+	for _, d := range f.daemons {
+		sum += d.tunnels.Active()
+	}
+	return sum
+}
+
 var requestCount atomic.Int64
 
 // send sends a request to a daemon and returns the status and the body, or 0 and the error.
@@ -234,6 +243,7 @@
 			g.Expect(served).To(Equal(all), "during the cut: %v", others)
 			f.links[0].end()
 			g.Eventually(f.daemons[0].links.Lost, 2*time.Second, 20*time.Millisecond).Should(BeFalse())
+			g.Eventually(f.tunnels, time.Second).Should(BeZero(), "idle tunnels are closed")
 			served, others = f.sendAll(t.Context(), 0, 10)
 			g.Expect(served).To(Equal(all), "after the cut: %v", others)
 		})
--- a/internal/edge/uplink.go
+++ b/internal/edge/uplink.go
@@ -23,7 +23,10 @@
 		return exchange.Dial(ctx, address, config)
 	}
 	dialInstance := func(ctx context.Context, address string) (net.Conn, error) { return d.dialInstance(ctx, address) }
-	d.links = uplink.New(uplink.Config{Log: d.log, Sample: d.instances.Sample, Connect: d.tryInstance})
+	var pool *exchange.Pool
+	d.links = uplink.New(uplink.Config{
+		Log: d.log, Sample: d.instances.Sample, Connect: d.tryInstance, OnChange: func() { pool.CloseUnusable() },
+	})
 	d.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Dial: dialInstance, Links: d.links, Known: d.instances.Owns,
 		Accepts: func() bool { return !d.draining.Load() },
@@ -37,7 +40,8 @@
 	})
 	pooled := config
 	pooled.Dial, pooled.Links, pooled.Detour = dialInstance, d.links, client.Dial
-	return exchange.NewPool(pooled)
+	pool = exchange.NewPool(pooled)
+	return pool
 }
 
 // tryInstance connects to an instance directly and closes the connection.
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -94,6 +94,28 @@
 	return !p.config.Links.Hanging()
 }
 
+// CloseUnusable closes the idle connections that are not used any more since the links were
+// lost or restored.
+func (p *Pool) CloseUnusable() {
+	var unusable []*conn
+	p.mu.Lock()
+	for id, list := range p.idle {
+		kept := list[:0:0]
+		for _, c := range list {
+			if p.onUsableWay(c) {
+				kept = append(kept, c)
+			} else {
+				unusable = append(unusable, c)
+			}
+		}
+		p.idle[id] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range unusable {
+		_ = c.Close()
+	}
+}
+
 // Dial connects to an address without a pool, with the timeouts of the configuration.
 func Dial(ctx context.Context, address string, config Config) (*net.TCPConn, error) {
 	c, err := dial(ctx, address, config.DialTimeout, config.AckTimeout)
--- a/internal/uplink/monitor.go
+++ b/internal/uplink/monitor.go
@@ -32,9 +32,9 @@
 	Connect func(ctx context.Context, address string) error
 	// Sample returns the addresses of up to n instances of different services.
 	Sample func(n int) []string
-	// OnChange is called when the links are lost, and when they are restored. It must not
+	// OnChange is called after the links were lost, and after they were restored. It must not
 	// block; nil means nothing.
-	OnChange func(lost bool)
+	OnChange func()
 }
 
 // Monitor tracks whether instances can be reached. It examines them only after a
@@ -131,7 +131,7 @@
 		m.hanging.Store(e.refused < len(e.addresses))
 		if m.lost.CompareAndSwap(false, true) {
 			m.config.Log.Warn("links to instances lost", "tried", len(e.addresses), "refused", e.refused)
-			m.changed(true)
+			m.changed()
 			go m.awaitRestoration(e.began)
 		}
 	}
@@ -145,9 +145,9 @@
 	return m.connected.After(began)
 }
 
-func (m *Monitor) changed(lost bool) {
+func (m *Monitor) changed() {
 	if m.config.OnChange != nil {
-		m.config.OnChange(lost)
+		m.config.OnChange()
 	}
 }
 
@@ -166,7 +166,7 @@
 		m.mu.Unlock()
 		m.lost.Store(false)
 		m.config.Log.Info("links to instances restored", "age", time.Since(since))
-		m.changed(false)
+		m.changed()
 		return
 	}
 }
