--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -190,14 +190,14 @@
 	d.holder = lease.New(lease.Config{
 		Backend: store.LeaseBackend{Store: p.Store}, Clock: d.clock, Logger: log, Duty: "coordinator", Key: dutyKey,
 		DaemonID: holderID(s.Name, s.CoordinatorAddress), TTL: max(s.Bounds.Lease, minLeaseTTL), Candidate: d.mayCampaign,
-		Wake: d.link.vacated, Generation: func() int64 { return store.CurrentGeneration(p.Store) },
+		Wake: d.link.vacated, BootTime: bootclock.Now, Generation: func() int64 { return store.CurrentGeneration(p.Store) },
 	})
 	d.splitter = rollout.NewSplitter()
 	d.splitter.Serving = d.instances.Versions
 	d.rollouts = rollout.New(rollout.Config{
 		Log: log, Store: p.Store, Token: d.holder.Token, Civil: d.civil.Now, Policy: rollout.DefaultPolicy(),
 		Evidence: d.fleetEvidence, Unproven: d.splitter.Unproven, Serving: d.instances.Versions,
-		Status: p.Reader.RolloutStatus,
+		Status: p.Reader.RolloutStatus, Predecessor: d.holder.Predecessor, Known: d.splitter.State,
 	})
 	d.estimator = scaling.NewEstimator(bootclock.Now)
 	d.crashGuard = crashguard.New(crashguard.Config{Now: bootclock.Now, Daemons: d.members.limitCount, OnChange: d.logQuarantine})
@@ -216,12 +216,13 @@
 	d.state.fleet = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: fleetPrefix, MaxPollWait: func() time.Duration { return fleetPollWait }, PollPause: d.currentFleetPollPause, Now: bootclock.Now,
 		Contact: contact, DelayRemoval: d.state.mayExpireInOutage, OnChanges: d.state.apply, MaxValueBytes: maxFleetValueBytes,
+		Newer: d.platform.Reader.Newer, Unreconciled: func(key string) bool { return key == dutyKey },
 		Backoff: d.storeBackoff, HoldOff: func() bool { return d.state.operator.Failing() },
 	})
 	d.state.operator = mirror.New(mirror.Config{
 		Store: d.platform.Store, Log: d.log, Prefix: operator, MaxPollWait: d.currentConfigPollWait, PollPause: func() time.Duration { return configPollPause }, Now: bootclock.Now,
 		Contact: contact, OnConnectivityChange: d.state.fleet.InterruptPoll, OnChanges: d.state.apply, Backoff: d.storeBackoff,
-		PauseAfterList: true,
+		PauseAfterList: true, Newer: d.platform.Reader.Newer,
 	})
 }
 
@@ -246,7 +247,7 @@
 func (d *Daemon) buildCoordination() {
 	s := d.settings
 	d.coordinator = coordination.NewCoordinator(coordination.CoordinatorConfig{
-		Log: d.log, Token: d.holder.Token, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
+		Log: d.log, Token: d.holder.Token, Predecessor: d.holder.Predecessor, Table: d.state.Table, Now: bootclock.Now, Daemons: d.members.count,
 		KnownDaemons:   d.members.limitCount,
 		AddMirrorDelta: d.addMirrorDelta,
 		Members:        d.members.reportIDs, Civil: d.civil.Now,
@@ -270,7 +271,8 @@
 	})
 	d.reporter = metering.New(metering.Config{
 		Log: d.log, Store: d.platform.Store, Key: usagePlanKey, Cloud: d.platform.Cloud, Token: d.holder.Token,
-		Counts: d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
+		Predecessor: d.holder.Predecessor,
+		Counts:      d.coordinator.Counts, Civil: d.civil.Now, Window: s.Bounds.UsageWindow, Lateness: s.Bounds.UsageLateness,
 	})
 	d.scaler = scaling.New(scaling.Config{
 		Log: d.log, Cloud: d.platform.Cloud, Token: d.holder.Token, Table: d.state.Table, Instances: d.instances,
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -65,6 +65,10 @@
 	// from an older copy. The leases and claims of earlier generations are gone then. Tokens
 	// must rise from one generation to the next. Nil means that the store isn't restored.
 	Generation func() int64
+	// BootTime returns the time since a fixed moment, including suspensions of the machine.
+	// Nil means that of Clock, by its monotonic and its wall clock: a jump of the wall clock
+	// then ends the holder's validity.
+	BootTime func() time.Duration
 	// OnChange is called when the daemon gets or loses the duty. It must not block.
 	OnChange func(held bool, token int64)
 }
@@ -80,6 +84,8 @@
 	highestToken int64     // highest token of any holder that was read from the store
 	generation   int64     // of the store, when the token was acquired or at the last check
 	claimsFrom   time.Time // until then a holder of an earlier generation may be valid
+	inherited    int64     // token that was valid at the last restore, if no other holder is known since; 0 if none
+	predecessor  int64     // value of inherited when the token was acquired
 	claims       string    // prefix of the values of all claims
 }
 
@@ -119,6 +125,14 @@
 	return h.token
 }
 
+// Predecessor returns the token that this Holder had when the store was restored, if its
+// present token is the first one since. Nobody else had the duty then. It is 0 otherwise.
+func (h *Holder) Predecessor() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.predecessor
+}
+
 // checkGeneration notices a restore of the store. The validity of a holder in the earlier
 // generation ends within the time to live, as it can't be renewed. Only that holder knows
 // that there is no other one, and may claim the duty before. It reports whether this was the
@@ -131,9 +145,12 @@
 		h.mu.Unlock()
 		return false
 	}
-	h.claimsFrom = time.Time{}
+	h.claimsFrom, h.inherited = time.Time{}, 0
 	if held = token != 0 && h.before(h.deadline); earlier != 0 && !held {
-		h.claimsFrom = h.config.Clock.Now().Add(h.config.TTL)
+		h.claimsFrom = h.now().Add(h.config.TTL)
+	}
+	if held && generation == earlier+1 { // else others may have had the duty in between
+		h.inherited = token
 	}
 	h.generation, h.token = generation, 0
 	h.mu.Unlock()
@@ -142,11 +159,19 @@
 	return held
 }
 
+// now returns the time for deadlines.
+func (h *Holder) now() time.Time {
+	if h.config.BootTime == nil {
+		return h.config.Clock.Now()
+	}
+	return time.Unix(0, int64(h.config.BootTime()))
+}
+
 // before reports whether the deadline is still ahead by both the monotonic and
 // the wall clock, because the monotonic clock stops while a virtual machine is
 // suspended.
 func (h *Holder) before(deadline time.Time) bool {
-	now := h.config.Clock.Now()
+	now := h.now()
 	return now.Before(deadline) && now.Round(0).Before(deadline.Round(0))
 }
 
@@ -256,7 +281,7 @@
 	h.mu.Lock()
 	id := h.lease
 	h.mu.Unlock()
-	sent := h.config.Clock.Now()
+	sent := h.now()
 	ttl, err := h.config.Backend.KeepAlive(callCtx, id)
 	if errors.Is(err, ErrExpired) {
 		if h.Valid() {
@@ -312,7 +337,7 @@
 // campaign tries once to acquire the duty if the daemon is a candidate and no
 // daemon holds the duty. If one does, the campaign costs one read.
 func (h *Holder) campaign(ctx context.Context) {
-	if !h.config.Candidate() {
+	if !h.mayCampaign() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.ttlFraction(campaignFraction))
@@ -323,14 +348,14 @@
 	}
 	h.checkGeneration(ctx)
 	if entry.Revision != 0 && !h.isOwnClaim(entry) {
-		h.recordToken(entry.Revision)
+		h.recordOther(entry.Revision)
 		return
 	}
 	if h.before(h.claimsFrom) {
 		return
 	}
 	generation := h.config.Generation()
-	sent := h.config.Clock.Now()
+	sent := h.now()
 	id, err := h.config.Backend.Grant(ctx, h.config.TTL)
 	if err != nil {
 		h.config.Logger.Warn("lease not granted", "duty", h.config.Duty, "error", err)
@@ -348,6 +373,15 @@
 	h.setHeld(token, generation, deadlineFrom(sent, h.config.TTL))
 }
 
+// mayCampaign reports whether this daemon is a candidate. One that had the duty when the store
+// was restored continues it.
+func (h *Holder) mayCampaign() bool {
+	h.mu.Lock()
+	inherited := h.inherited
+	h.mu.Unlock()
+	return inherited != 0 || h.config.Candidate()
+}
+
 // isOwnClaim reports whether the duty's key holds a claim of this Holder that it has given
 // up: one that a restore of the store has brought back, or that was executed late. Its lease
 // may be another's by now, so that it wouldn't expire.
@@ -369,7 +403,7 @@
 		return 0, errors.Wrap(err, "claim duty")
 	}
 	if !swapped {
-		h.recordToken(entry.Revision)
+		h.recordOther(entry.Revision)
 		return 0, errors.New("another daemon holds the duty")
 	}
 	if !h.recordToken(entry.Revision) {
@@ -408,9 +442,18 @@
 	return true
 }
 
+// recordOther records the token of another holder.
+func (h *Holder) recordOther(token int64) {
+	h.recordToken(token)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.inherited = 0
+}
+
 func (h *Holder) setHeld(token, generation int64, deadline time.Time) {
 	h.mu.Lock()
 	h.token, h.generation, h.deadline = token, generation, deadline
+	h.predecessor, h.inherited = h.inherited, 0
 	h.mu.Unlock()
 	h.config.Logger.Info("duty acquired", "duty", h.config.Duty, "token", token)
 	if h.config.OnChange != nil {
