Keep daemons together within what fragile instances bear

Callers would see failed connections and 502s for seconds: an instance that states how many rejections a second it bears fails when all daemons together send it more than it has room for, and the load moves to the next instance.

Cause: a daemon picked the least loaded instance whether or not it had a free slot, by loads of the other daemons that are up to 500 ms old, and retried rejected requests at the next one.

Change: while replies state the limit, each daemon keeps to its part of the free slots of the last report (of all slots without one), and to its part of the rejections. Requests wait at the daemon while they can be on time, and are refused otherwise. Instances that return are tried with one request.

--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -25,7 +25,7 @@
 func (s *Set) SetRemoteLoads(loads map[string]Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loadReports++
+	s.loadReports, s.loadReportAt = s.loadReports+1, s.clock.Now()
 	for key := range s.remote {
 		s.setRemoteLoad(key, Load{})
 	}
@@ -39,7 +39,7 @@
 func (s *Set) UpdateRemoteLoads(loads map[uint64]Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loadReports++
+	s.loadReports, s.loadReportAt = s.loadReports+1, s.clock.Now()
 	for key, l := range loads {
 		s.setRemoteLoad(key, l)
 	}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -53,6 +53,7 @@
 	// another answer, and Alternative the shortest one among the other instances. Both are 0 if the speeds of the service don't differ.
 	Predicted, Alternative time.Duration
 	work                   speed.Work
+	picked                 time.Time // zero while no instances are fragile
 }
 
 const (
@@ -93,6 +94,9 @@
 	if predictor != nil {
 		predictor.reserved(reservation, predicted, alternative)
 	}
+	if len(s.fragile) > 0 {
+		reservation.picked = s.clock.Now()
+	}
 	for _, c := range s.Constraints {
 		c.Reserve(&best.Description)
 	}
@@ -169,7 +173,11 @@
 	return Load{Inflight: i.inflight + i.remoteInflight, PrefillTokens: i.prefill + i.remotePrefill}
 }
 
-func (s *Set) eligible(i *Instance, q Query) bool { return !i.Leaving && s.usable(i, q) }
+// eligible is selectable for an instance that has room, as far as that counts.
+func (s *Set) eligible(i *Instance, q Query) bool { return s.selectable(i, q) && s.hasRoom(i) }
+
+// selectable reports whether the instance takes new requests and is usable.
+func (s *Set) selectable(i *Instance, q Query) bool { return !i.Leaving && s.usable(i, q) }
 
 // usable reports whether the instance still owns its address and has not asked for a
 // pause, the request neither excludes it nor rejects its version or data centre, and the constraints
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -17,7 +17,7 @@
 	defer s.mu.Unlock()
 	r := Room{Report: s.loadReports}
 	for _, i := range s.byService[service] {
-		if i.weight <= 0 || !s.eligible(i, Query{Service: service}) {
+		if i.weight <= 0 || !s.selectable(i, Query{Service: service}) {
 			continue
 		}
 		load := i.load()
--- a/internal/fleet/set.go
+++ b/internal/fleet/set.go
@@ -30,6 +30,7 @@
 	pausedUntil time.Time
 	remoteLoad
 	measuredSpeed
+	fragility fragility
 
 	idHash   uint64 // LoadKey of the ID
 	position int    // in the list of its service
@@ -68,10 +69,12 @@
 	notices   map[string]*notice     // by instance ID
 	remote    map[uint64]remoteLoad  // by LoadKey, without idle instances
 	times     serviceTimes
+	fragile   map[string]*fragileService // by service
 	// noticesSweptAt is when old notices were last dropped.
 	noticesSweptAt time.Time
 	// loadReports counts the updates of the loads that other daemons cause.
-	loadReports uint64
+	loadReports  uint64
+	loadReportAt time.Time // when the last of them came
 }
 
 // NewSet returns an empty set.
@@ -80,6 +83,7 @@
 		clock: clock, log: log,
 		instances: map[string]*Instance{}, byHash: map[uint64]*Instance{}, byService: map[string][]*Instance{},
 		addresses: map[string]string{}, claims: map[string][]*Instance{}, notices: map[string]*notice{}, remote: map[uint64]remoteLoad{},
+		fragile: map[string]*fragileService{},
 	}
 	s.tracker = health.New(health.Config{Clock: clock, OnChange: s.healthChanged})
 	return s
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -65,6 +65,10 @@
 type Notice struct {
 	Leaving bool          // it is about to stop
 	Pause   time.Duration // it wants no requests from this daemon for this long
+	// Fragile tells that it fails when it rejects more than RejectionsBorne requests in a
+	// second.
+	Fragile         bool
+	RejectionsBorne int
 }
 
 // HeaderCodec translates between the headers of the deployment and the values
--- a/internal/relay/notice_test.go
+++ b/internal/relay/notice_test.go
@@ -66,6 +66,40 @@
 	}, 5*time.Second, time.Millisecond).Should(BeNumerically(">", 0), "the pause has ended")
 }
 
+// Guards against limits that stay after instances have ceased to say that they are fragile.
+func TestFragileInstancesAreLimitedWhileTheySaySo(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(t)
+	w := s.worker("w1", "lookup", worker.Behaviour{Brittle: &worker.Brittle{Slots: 8, Bears: 1}})
+	for range 3 {
+		g.Expect(s.send(t.Context(), "/lookup/1", nil).status).To(Equal(http.StatusOK))
+	}
+	query := fleet.Query{Service: "lookup"}
+	var held []*fleet.Reservation
+	for {
+		r, err := s.set.Pick(query)
+		if err != nil {
+			break
+		}
+		held = append(held, r)
+	}
+	g.Expect(held).To(HaveLen(8), "requests at its slots")
+	g.Expect(s.set.Full(query)).To(BeTrue())
+	began := time.Now()
+	a := s.send(t.Context(), "/lookup/1", nil)
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond), "the route's objective is 500 ms")
+
+	w.Set(worker.Behaviour{})
+	held[0].Release()
+	g.Expect(s.send(t.Context(), "/lookup/1", nil).status).To(Equal(http.StatusOK))
+	for range 20 {
+		_, err := s.set.Pick(query)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
 // Guards against keeping a request until its deadline, or naming a time at which it
 // would be refused again, while all instances have asked for a pause.
 func TestRequestIsRefusedAtOnceWhileAllInstancesPause(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,6 +143,7 @@
 	active    atomic.Int64
 	latencies latencies
 	gates     gates
+	waiting   atomic.Int64 // requests that wait for room at fragile instances
 	// ending is done when requests without a response end.
 	ending context.Context
 	end    context.CancelFunc
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -226,6 +226,9 @@
 	if wait, paused := q.relay.options.Instances.RetryAfter(q.query(), q.priority() == 0, q.remaining()); paused {
 		return notExecuted(result.UpstreamRefused, "all instances have asked for a pause", wait)
 	}
+	if q.relay.options.Instances.Full(q.query()) {
+		return q.instancesFull()
+	}
 	return notExecuted(result.NoUpstream, "no instance can take the request", busyRetryAfter)
 }
 
@@ -263,8 +266,9 @@
 	q.attemptTimer = timer
 	defer reply.Close()
 	options.Instances.Answered(reservation.Description)
-	q.heedNotice(reservation, reply)
-	switch options.Headers.Classify(reply.Status, reply.Header) {
+	class := options.Headers.Classify(reply.Status, reply.Header)
+	q.heedNotice(reservation, reply, class)
+	switch class {
 	case NotExecuted:
 		q.attempts++
 		reservation.Observe(false, 0, 0)
@@ -297,7 +301,7 @@
 
 // heedNotice applies what the instance says about itself in its reply, before the reply
 // is passed on.
-func (q *request) heedNotice(reservation *fleet.Reservation, reply *exchange.Reply) {
+func (q *request) heedNotice(reservation *fleet.Reservation, reply *exchange.Reply, class ReplyClass) {
 	notice := q.relay.options.Headers.Notice(reply.Status, reply.Header)
 	if notice.Leaving {
 		reservation.MarkLeaving()
@@ -306,6 +310,7 @@
 		reservation.Pause(notice.Pause)
 		countPause(reservation.Service)
 	}
+	heedFragility(reservation, notice, class)
 }
 
 // peer returns the address of the instance and the number of idle connections
@@ -330,6 +335,7 @@
 	if outcome, ended := q.contextOutcome(ctx, reservation); ended {
 		return outcome, err.Error()
 	}
+	countFragileFailure(reservation)
 	if notSent {
 		reservation.Observe(true, 0, 0)
 		if errors.Is(err, exchange.ErrRefused) {
--- a/internal/relay/withheld.go
+++ b/internal/relay/withheld.go
@@ -31,6 +31,9 @@
 		if err == nil {
 			return reservation, nil
 		}
+		if q.relay.options.Instances.Full(q.query()) {
+			return q.waitForSlot(ctx)
+		}
 		wait, withheld := q.relay.options.Instances.Withheld(q.query())
 		wait += rand.N(withheldWaitJitter)
 		limit := time.Duration(withheldWaitShare*float64(q.route.Objective)) - clock.Since(q.received)
--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -31,6 +31,7 @@
 	EventGap   time.Duration  // between events
 	BrokenHead *rawreply.Head // executes the request and answers with this head; nil means a sound one
 	CrashOn    string         // part of a prompt on which the worker crashes when it begins to write an answer
+	Brittle    *Brittle       // limits the worker's room; nil means that it has room for any number of requests
 }
 
 // Endless is what a worker sends without end instead of a response, until the
@@ -70,6 +71,7 @@
 	misdirected atomic.Int64
 	refused     atomic.Int64
 	crashed     atomic.Bool
+	room        room
 
 	mu   sync.Mutex
 	runs []Run
@@ -146,6 +148,14 @@
 	if b.Leaving {
 		rw.Header().Set("Server-Leaving", "1")
 	}
+	if b.Brittle != nil {
+		release, ok := w.room.enter(rw, r, b.Brittle)
+		if !ok {
+			w.refused.Add(1)
+			return
+		}
+		defer release()
+	}
 	if b.Refuse {
 		w.refused.Add(1)
 		if b.RetryAfter != "" {
