Leave a silent stream with its instance while no other can take it

Callers saw streams end in the middle when the instance made no event for half of what they bear (1.0 s to 1.6 s), although the instance went on: with no other instance or no retry left, the request couldn't be continued.

Cause: the timer of a resumable stream broke off the attempt before it was known whether another attempt was possible.

Change: at that time the timer takes a retry and looks for another instance; without both, it looks again at intervals until the end of the patience that other streams have.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,7 +59,7 @@
 		if progress && stall == nil {
 			q.attemptTimer.stop()
 			q.recordFirstEvent(reservation, sent)
-			stall = newStallTimer(q.stallTimeout(stream), cancel)
+			stall = q.newStallTimer(reservation, stream, cancel)
 			defer stall.stop()
 		}
 		if complete > 0 && stall != nil {
@@ -75,7 +75,7 @@
 			pending.data = append(pending.data[:0], pending.data[complete:]...)
 		}
 		if progress {
-			stall.progress(q.stallTimeout(stream))
+			stall.progressed(q, stream)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && stall != nil && !containsEvent(pending.data):
