Bear instances that are silent for two seconds

Callers saw requests fail, among them orders with an unknown outcome, when the machine of a sound instance took no data for 1.5 s, and streams ended after 2 s without a packet.

Cause: TCP_USER_TIMEOUT was 1.5 s. It decides also for keep-alive probes and for a closed window, so that the two probes meant for 3 s gave up at the second one.

Change: 2.5 s, with the same probes: a peer that stays silent is still noticed within about 3 s.

TestSilentInstanceKeepsItsConnection before: "connection failed during a write" after 1.96 s. After: passes; a peer that stays silent is noticed after 2.85 s (2.05 s before).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,8 +78,10 @@
 	// attempt nothing has been sent, so another instance can be tried.
 	dialTimeout = 300 * time.Millisecond
 	// ackTimeout is the time after which a connection to an instance that doesn't
-	// acknowledge data is closed.
-	ackTimeout = 1500 * time.Millisecond
+	// acknowledge data, or that takes none, is closed. A sound instance may be silent for
+	// a second or two. TCP_USER_TIMEOUT also ends keep-alive probes, whatever their count:
+	// those of a connection to an instance are sent after 1 s and 2 s.
+	ackTimeout = 2500 * time.Millisecond
 	// instanceIdleTimeout is how long an idle connection to an instance is kept.
 	instanceIdleTimeout = 10 * time.Second
 	// maxFleetValueBytes is the largest entry of an instance or daemon that is kept.
