Metering: skip the present window too after a restore

Cause: a holder that doesn't know what was reported before a restore went on with the present window by its own clock. Found by the review, by reading. Change: it goes on with the window after it; a missed report is only priced. Result: TestHolderWithALateClockReportsNoWindowAgain, before: "two reports of one window have different counts"; passes now.

--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -159,12 +159,14 @@
 }
 
 // skipEarlier skips the windows that a holder of an earlier generation may have reported, as
-// it plans a window after its end, and not once it has noticed the restore. The counts it
-// reported are not known: the stored plan may be older, or the write of one that was given
-// up and that was executed late.
+// it plans a window after its end, and not once it has noticed the restore: the present one
+// too, since that holder's clock may have been ahead. The counts it reported are not known: the
+// stored plan may be older, or the write of one that was given up and that was executed late.
 func (r *Reporter) skipEarlier(stored plan) {
-	r.plan, r.pending, r.next = plan{}, false, max(r.windowOf(r.config.Civil()), stored.Window+1)
+	current := r.windowOf(r.config.Civil())
+	r.plan, r.pending, r.next = plan{}, false, max(current+1, stored.Window+1)
 	if stored.Window == 0 {
+		r.next = current
 		return // there was no report, or the copy is from before the first one
 	}
 	metrics.GetOrCreateCounter("rudder_metering_plans_lost_total").Inc()
--- a/internal/metering/restore_test.go
+++ b/internal/metering/restore_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
@@ -160,3 +161,21 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against two reports of a window with different counts, when the clock of the daemon
+// that follows is behind that of the holder of before the restore.
+func TestHolderWithALateClockReportsNoWindowAgain(t *testing.T) {
+	f := newFixture()
+	h := &holder{token: store.InGeneration(1, 1)}
+	r := f.restoredReporter(h)
+	f.run(t, r, 6400*time.Millisecond)
+	copied := f.store.Snapshot()
+	f.run(t, r, 5*time.Second)
+	h.token = 0
+	f.store.Restore(copied)
+	f.counts = map[string]int64{"acme": 9}
+	late := f.clock
+	f.clock = clockwork.NewFakeClockAt(late.Now().Add(-2 * time.Second))
+	f.run(t, f.restoredReporter(&holder{token: store.InGeneration(2, 3)}), 20*time.Second)
+	f.expectOneReportPerWindow(t, 4)
+}
