Roll-outs: compare the time limits of an order and its record in milliseconds

Cause: the record holds the limit in milliseconds, the order in nanoseconds. Result: TestOrderIsThatOfItsRecordAcrossARestore fails before and passes now.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -21,7 +21,8 @@
 }
 
 // same reports whether both are one order. After a restore of the store, an order that was
-// lost is written again and has another revision. Within is compared if both are known.
+// lost is written again and has another revision. Within is compared in milliseconds, as it is
+// recorded, if both are known.
 func (o Order) same(other Order) bool {
 	switch {
 	case o.Service != other.Service || o.Target != other.Target:
@@ -31,7 +32,7 @@
 	case store.Generation(o.Revision) == store.Generation(other.Revision):
 		return false
 	}
-	return o.Within == 0 || other.Within == 0 || o.Within == other.Within
+	return o.Within == 0 || other.Within == 0 || o.Within.Milliseconds() == other.Within.Milliseconds()
 }
 
 // precedes reports whether o is an earlier order than other.
