Lease: drop a claim that met a restore of the store

Cause: a claim whose campaign began before a restore was taken for one of the earlier generation, so that the daemon counted as its holder and didn't wait for another one that may still be valid. Found by the review, by reading. Change: such a claim ends; the next campaign takes it over, after the wait where one is due.

--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -370,6 +370,11 @@
 		h.endLease(ctx, "campaign failed")
 		return
 	}
+	if h.config.Generation() != generation {
+		// The claim may be one of before a restore. The next campaign takes it over.
+		h.endLease(ctx, "campaign failed")
+		return
+	}
 	h.setHeld(token, generation, deadlineFrom(sent, h.config.TTL))
 }
 
--- a/pkg/lease/holder_test.go
+++ b/pkg/lease/holder_test.go
@@ -442,6 +442,26 @@
 	}
 }
 
+// Guards against a duty that nobody can acquire: a claim that the daemon has given up is in
+// the store after a restore, under a lease that another daemon renews as its own.
+func TestHolderTakesOverItsOwnClaim(t *testing.T) {
+	c := newElection(2, nil)
+	defer c.stop()
+	c.waitUntil(t, time.Minute, c.held)
+	c.advance(t, 20*time.Second)
+	entry, _ := c.store.snapshot()
+	first := c.current()
+	c.pause(first, true)
+	c.clock.Advance(lease.DefaultTTL) // ends the lease and the holder's validity
+	const another = 1000
+	c.store.restore(entry, another)
+	c.store.mu.Lock()
+	c.store.leases[another] = c.clock.Now().Add(time.Hour)
+	c.store.mu.Unlock()
+	c.pause(first, false)
+	c.waitUntil(t, time.Minute, func() bool { return c.holders[first].Valid() })
+}
+
 // Guards against two valid holders and tokens that don't rise, when the store is restored
 // from older copies while daemons are cut off, replies are lost and the store is away.
 func TestOneHolderAtATimeAcrossRestores(t *testing.T) {
