Mirror: count the settling time of a restored store from the later list

Cause: the settling time is shared by both mirrors of a daemon and began with the first answer to either. If the list of the operators' keys came more than 2.3 s later, for example from a slow store, orders that the copy lacks were removed at once. Change: a mirror's own first list of a generation extends it. Result: the package's tests pass; there is no test of two lists so far apart.

--- a/internal/mirror/contact.go
+++ b/internal/mirror/contact.go
@@ -61,6 +61,13 @@
 	return restored
 }
 
+// settleUntil extends the settling time.
+func (c *Contact) settleUntil(until time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settledFrom = max(c.settledFrom, until)
+}
+
 // settling returns until when the store may lack what its owners wrote before a restore, and
 // true if that is ahead.
 func (c *Contact) settling(now time.Duration) (until time.Duration, settling bool) {
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -19,6 +19,10 @@
 		m.config.Log.Warn("store restored", "prefix", m.config.Prefix, "revision", store.Local(revision), "known", store.Local(m.revision),
 			"generation", store.Generation(revision))
 	}
+	if list && m.revision != 0 && store.Generation(revision) > store.Generation(m.revision) {
+		// The other mirror may have listed this generation long before.
+		m.config.Contact.settleUntil(now + expiryGrace)
+	}
 	_, settling := m.config.Contact.settling(now)
 	if !settling || m.revision == 0 || m.provisional(now) {
 		return false
