--- a/internal/fleet/fragile.go
+++ b/internal/fleet/fragile.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if !rejected {
-		if !r.picked.Before(f.usedUpAt) {
+		if r.picked.After(f.usedUpAt) {
 			f.usedUp = 0
 		}
 		return
@@ -138,7 +138,7 @@
 	}
 	f.rejections = append(kept, now)
 	part := float64(f.bears) / daemons
-	if float64(len(f.rejections)+1) <= part || now.Before(f.usedUpUntil) && picked.Before(f.usedUpAt) {
+	if float64(len(f.rejections)+1) <= part || now.Before(f.usedUpUntil) && !picked.After(f.usedUpAt) {
 		return
 	}
 	f.usedUp++
