Tests of lost links: addresses that no outgoing connection takes

Cause: freeAddress took a port on 127.0.0.1 that the kernel gives to outgoing connections, and closed it before its use. TestNoDaemonHasLinksToInstances failed once in 39 runs at a load of 19: "listen tcp 127.0.0.1:45045: bind: address already in use". Change: a port below that range on a random loopback address. What the tests check is the same.

--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -100,12 +101,15 @@
 	workers []*worker.Worker
 }
 
+// freeAddress returns an address on a random loopback IP, with a port that isn't given to
+// outgoing connections: between this check and its use, others may take a port on 127.0.0.1.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address := fmt.Sprintf("127.%d.%d.%d:%d", 1+rand.N(250), rand.N(250), 1+rand.N(250), 20000+rand.N(10000))
+	listener, err := net.Listen("tcp", address)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // startLinkedFleet starts daemons and two instances of each of two services: plain answers
