Count and log replies whose end is that of their connection

Cause: of the reported answers that end early but look complete, neither logs nor metrics tell what ended the body, nor whether the connection led through another daemon: an attempt without an error logs nothing. Change: rudder_relay_replies_total{end,way}, and one line for each reply without a length or chunks that was passed on as whole.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -198,6 +198,12 @@
 // the end of the connection.
 func (r *Reply) Framed() bool { return r.Length >= 0 || len(r.response.TransferEncoding) > 0 }
 
+// Detoured reports whether the connection leads through another daemon.
+func (r *Reply) Detoured() bool {
+	_, indirect := r.conn.Conn.Conn.(detour)
+	return indirect
+}
+
 // Abort closes the connection, which ends a Read in progress.
 func (r *Reply) Abort() { _ = r.conn.Close() }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/pkg/result"
 )
@@ -60,6 +61,29 @@
 		"predicted_ms", reservation.Predicted.Milliseconds(), "alternative_ms", reservation.Alternative.Milliseconds())
 }
 
+// recordEnd counts a reply that reached the client whole by what ended its body. It logs one
+// that ended with its connection, since nothing else tells that such a body is whole.
+func (q *request) recordEnd(reservation *fleet.Reservation, reply *exchange.Reply, outcome attemptOutcome) {
+	if outcome != answered {
+		return
+	}
+	end, way := "connection", "direct"
+	switch {
+	case reply.Length >= 0:
+		end = "length"
+	case reply.Framed():
+		end = "chunks"
+	}
+	if reply.Detoured() {
+		way = "tunnel"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_relay_replies_total{end=%q,way=%q}", end, way)).Inc()
+	if !reply.Framed() {
+		q.relay.options.Log.Info("reply ended with its connection", "request", q.info.ID, "instance", reservation.ID,
+			"service", reservation.Service, "way", way)
+	}
+}
+
 // String returns the name used in logs and metrics.
 func (o attemptOutcome) String() string {
 	return [...]string{"answered", "unsent", "misdirected", "refused", "lost", "broken", "left", "expired", "stopped"}[o]
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -285,7 +285,9 @@
 		q.attempts++
 		q.ran = true
 		q.observeFailure(reservation, sent)
-		return q.relayFailure(ctx, reply, reservation)
+		outcome, reason := q.relayFailure(ctx, reply, reservation)
+		q.recordEnd(reservation, reply, outcome)
+		return outcome, reason
 	}
 	q.attempts++
 	q.ran = true
@@ -293,10 +295,15 @@
 		q.observeFailure(reservation, sent)
 		return broken, "the reply does not continue the stream"
 	}
+	var outcome attemptOutcome
+	var reason string
 	if q.route.Semantics == traffic.Streaming {
-		return q.relayStream(ctx, reply, reservation, stream, sent)
+		outcome, reason = q.relayStream(ctx, reply, reservation, stream, sent)
+	} else {
+		outcome, reason = q.relayBuffered(ctx, reply, reservation, sent)
 	}
-	return q.relayBuffered(ctx, reply, reservation, sent)
+	q.recordEnd(reservation, reply, outcome)
+	return outcome, reason
 }
 
 // heedNotice applies what the instance says about itself in its reply, before the reply
