--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -55,7 +55,7 @@
 		if run.Tenant != o.account || run.Key != "" {
 			fail("worker got account %q and key %q", run.Tenant, run.Key)
 		}
-		if run.Path != "/"+o.kind+"/"+o.id || run.Body != 200 {
+		if run.Path != "/"+o.kind+"/"+o.id || run.Body != o.upload {
 			fail("worker got path %s and %d bytes", run.Path, run.Body)
 		}
 	}
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -23,15 +23,23 @@
 	sent    time.Time
 	ended   time.Time
 	status  int // 0 if no complete response was received
+	upload  int // bytes of the request's body
 	body    string
 	err     error
 	version int64 // number of the only configuration that has the route; 0 if all have it
 }
 
+// Sizes of the bodies of requests in bytes.
+const (
+	shortUpload = 200
+	longUpload  = 512 << 10
+)
+
 // clients send requests and record the outcomes.
 type clients struct {
-	cluster *cluster
-	wg      sync.WaitGroup
+	cluster     *cluster
+	longUploads bool // some requests have bodies that don't fit into the socket buffers
+	wg          sync.WaitGroup
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -72,6 +80,10 @@
 				id: fmt.Sprintf("c%d-%d", number, sequence), kind: kinds[random.IntN(len(kinds))],
 				account: accounts[random.IntN(len(accounts))], address: addresses[random.IntN(len(addresses))],
 			}
+			o.upload = shortUpload
+			if c.longUploads && random.IntN(3) == 0 {
+				o.upload = longUpload
+			}
 			if c.cluster.gates && random.IntN(3) == 0 {
 				o.version = c.cluster.written.version(random)
 				o.kind = gateKind(o.version)
@@ -114,7 +126,7 @@
 func (c *clients) send(ctx context.Context, client *http.Client, o *outcome) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 4*time.Second)
 	defer cancel()
-	body := strings.Repeat("x", 200)
+	body := strings.Repeat("x", o.upload)
 	// GetBody is unset, so that http.Client cannot send the request again.
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.address+"/"+o.kind+"/"+o.id, io.NopCloser(bytes.NewReader([]byte(body))))
 	if err != nil {
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -57,6 +58,7 @@
 	servers       []*http.Server
 	configVersion int64
 	keys          map[string]string // key by account
+	failures      []string          // of upgrades
 	rates         map[string]int    // quota in tokens per second by account, if not defaultRate
 }
 
@@ -186,6 +188,18 @@
 	return nil
 }
 
+// restartWorker starts a worker that has crashed at the address that it had. Its entry in
+// the store is still there.
+func (c *cluster) restartWorker(old *worker.Worker) error {
+	w, err := worker.Start(old.ID, old.Service, old.Address(), old.Events)
+	if err != nil {
+		return errors.Wrap(err, "restart worker")
+	}
+	w.Set(healthyBehaviour)
+	c.workers = append(c.workers, w)
+	return nil
+}
+
 // healthyBehaviour is the behaviour of a worker without faults.
 var healthyBehaviour = worker.Behaviour{Delay: 10 * time.Millisecond, EventGap: 15 * time.Millisecond}
 
@@ -250,6 +264,22 @@
 	return nil
 }
 
+// upgrade stops each daemon in turn within length, and starts it with another binary.
+func (c *cluster) upgrade(binary string, length time.Duration) {
+	pause := length / time.Duration(len(c.daemons)+1)
+	for _, d := range c.daemons {
+		time.Sleep(pause)
+		d.mu.Lock()
+		d.binary = binary
+		d.mu.Unlock()
+		d.signal(syscall.SIGTERM)
+		d.waitExit(10 * time.Second)
+		if err := d.start(); err != nil {
+			c.failures = append(c.failures, err.Error())
+		}
+	}
+}
+
 // killed reports whether a process has ended by SIGKILL, which only the soak sends.
 func killed(process *exec.Cmd) bool {
 	status, ok := process.ProcessState.Sys().(syscall.WaitStatus)
@@ -258,7 +288,7 @@
 
 // exits describes the processes that ended with an error, and not by SIGKILL.
 func (c *cluster) exits() []string {
-	var ends []string
+	ends := slices.Clone(c.failures)
 	for _, d := range c.daemons {
 		d.mu.Lock()
 		for _, end := range d.ends {
--- a/test/soak/explain_test.go
+++ b/test/soak/explain_test.go
@@ -72,7 +72,7 @@
 
 // send sends one request to the first daemon.
 func (e explainer) send(kind, account, id string) outcome {
-	o := outcome{id: id, kind: kind, account: account, address: fmt.Sprintf("%s:%d", e.cluster.daemons[0].ip, portCallers)}
+	o := outcome{id: id, kind: kind, account: account, address: fmt.Sprintf("%s:%d", e.cluster.daemons[0].ip, portCallers), upload: shortUpload}
 	callers := &clients{cluster: e.cluster}
 	callers.send(context.Background(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, &o)
 	return o
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -146,6 +146,37 @@
 	workerFault(worker.Behaviour{BrokenHead: &head})(p)
 }
 
+// earlyFaults are faults of workers whose answers end early.
+var earlyFaults = []fault{
+	{"reset", false, endEarly(worker.Reset), restoreWorker},
+	{"reset during uploads", false, endEarly(worker.ResetEarly), restoreWorker},
+	{"second copy in a body", false, endEarly(worker.Copy), restoreWorker},
+	{"crash in an answer", false, endEarly(worker.Crash), restartWorker},
+}
+
+// endEarly returns a function that makes a random worker leave out the end of its answers.
+func endEarly(end worker.End) func(*faultInjector) {
+	return func(p *faultInjector) {
+		e := &worker.EarlyEnd{Framing: worker.Framing(p.random.IntN(3)), End: end, Missing: 1 + p.random.IntN(120)}
+		p.worker = p.randomWorker()
+		for p.worker.Crashed() { // another fault is about to restart it, or has done so
+			p.worker = p.randomWorker()
+		}
+		p.worker.Set(worker.Behaviour{EarlyEnd: e, Delay: healthyBehaviour.Delay})
+	}
+}
+
+// restartWorker ends a fault of a worker, which starts again if it has crashed.
+func restartWorker(p *faultInjector) {
+	if !p.worker.Crashed() {
+		restoreWorker(p)
+		return
+	}
+	if err := p.cluster.restartWorker(p.worker); err != nil {
+		p.record.lines = append(p.record.lines, "worker not restarted: "+err.Error())
+	}
+}
+
 // oddEntries are values that another writer may leave among the workers' entries.
 var oddEntries = []string{
 	strings.Repeat(`{"a":`, 50_000), `{"service":"reports","addr":"127.0.0.1:70000","zone":"a","configVer":"v1","slots":24,"state":"ready"}`,
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 // options are the flags of the command.
 type options struct {
 	Binary   string        `required:"" help:"Path of rudderd." type:"existingfile"`
+	Previous string        `help:"Path of rudderd of the landing before. The daemons begin with it and are replaced one after the other." type:"existingfile"`
 	Seed     uint64        `default:"0" help:"First seed; 0 takes one from the clock."`
 	Seeds    int           `default:"1" help:"Number of seeds."`
 	Length   time.Duration `default:"15s" help:"Time with faults for each seed."`
@@ -26,6 +28,7 @@
 	Planned  bool          `help:"Only planned operations: stops, leaving workers, revoked keys, configurations."`
 	Trouble  bool          `help:"Adds faults of workers in trouble and of other writers: pauses, bytes without end, odd entries."`
 	Broken   bool          `help:"Adds workers that send malformed answers, four times as often as other faults."`
+	Early    bool          `help:"Adds workers whose answers end early, four times as often as other faults, and long uploads."`
 	Moves    bool          `help:"Plays series in which the coordinator loses the store, a worker leaves, and the duty moves, instead of other faults."`
 	Restores bool          `help:"Plays series in which the store comes back from older copies, beside other faults, instead of other faults."`
 	Keep     string        `default:"" help:"Folder that keeps the logs of failed seeds."`
@@ -52,7 +55,7 @@
 // runSeed runs one seed. Settings and logs are written to dir.
 func runSeed(o options, seed uint64, dir string) (result, error) {
 	addressPrefix := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%64, seed%250)
-	c, err := newCluster(o.Binary, dir, addressPrefix, o.Daemons, o.Restores)
+	c, err := newCluster(cmp.Or(o.Previous, o.Binary), dir, addressPrefix, o.Daemons, o.Restores)
 	if err != nil {
 		return result{}, err
 	}
@@ -60,7 +63,7 @@
 	if err := awaitReady(c); err != nil {
 		return result{}, err
 	}
-	callers := &clients{cluster: c}
+	callers := &clients{cluster: c, longUploads: o.Early}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers.start(ctx, o.Clients, seed)
@@ -71,6 +74,13 @@
 			disturbed: map[string]time.Time{}, onlyPlanned: !o.Moves && !o.Restores,
 		},
 	}
+	upgraded := make(chan struct{})
+	go func() {
+		defer close(upgraded)
+		if o.Previous != "" {
+			c.upgrade(o.Binary, o.Length)
+		}
+	}()
 	faultsBegan := time.Now()
 	kinds := faults
 	if o.Trouble {
@@ -79,6 +89,9 @@
 	if o.Broken {
 		kinds = slices.Concat(kinds, slices.Repeat(brokenFaults, 4*len(faults)))
 	}
+	if o.Early {
+		kinds = slices.Concat(kinds, slices.Repeat(earlyFaults, len(faults)))
+	}
 	moves := moveFaults{cluster: c, random: p.random, record: p.record, began: faultsBegan}
 	switch {
 	case o.Moves:
@@ -89,6 +102,7 @@
 	default:
 		p.run(o.Length, kinds, func(f fault) bool { return !o.Planned || f.planned })
 	}
+	<-upgraded
 	faultsEnded := time.Now()
 	time.Sleep(recoveryTime)
 	measureFrom := time.Now()
--- a/test/standin/worker/worker.go
+++ b/test/standin/worker/worker.go
@@ -30,6 +30,7 @@
 	Delay      time.Duration  // before the response begins
 	EventGap   time.Duration  // between events
 	BrokenHead *rawreply.Head // executes the request and answers with this head; nil means a sound one
+	EarlyEnd   *EarlyEnd      // executes the request and leaves out the end of the answer; nil means a whole one
 	CrashOn    string         // part of a prompt on which the worker crashes when it begins to write an answer
 	Brittle    *Brittle       // limits the worker's room; nil means that it has room for any number of requests
 }
@@ -141,6 +142,10 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if b.EarlyEnd != nil && b.EarlyEnd.End == ResetEarly {
+		w.run(rw, r, b, int(r.ContentLength))
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -194,6 +199,8 @@
 		sendEndless(rw, r, b.Endless)
 	case b.BrokenHead != nil:
 		sendBroken(rw, r, *b.BrokenHead)
+	case b.EarlyEnd != nil:
+		w.sendEarlyEnd(rw, r, *b.EarlyEnd)
 	case b.LoseAnswer:
 		panic(http.ErrAbortHandler)
 	case b.Fail:
@@ -238,17 +245,22 @@
 	}
 }
 
-func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, b *Behaviour) {
-	first := 0
-	if last := strings.TrimSpace(r.Header.Get("Last-Event-Id")); last != "" {
-		if n, err := strconv.Atoi(last); err == nil {
-			first = n + 1
-		}
+// eventFormat is the format of an event. Its arguments are twice the number of the event.
+const eventFormat = "id: %d\ndata: event %d\n\n"
+
+// firstEvent returns the number of the first event that the client asks for.
+func firstEvent(r *http.Request) int {
+	if n, err := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id"))); err == nil {
+		return n + 1
 	}
+	return 0
+}
+
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, b *Behaviour) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	flusher, _ := rw.(http.Flusher)
 	sent := 0
-	for i := first; i < w.Events; i++ {
+	for i := firstEvent(r); i < w.Events; i++ {
 		if b.CutAfter > 0 && sent >= b.CutAfter {
 			if b.CutInEvent {
 				_, _ = fmt.Fprintf(rw, "id: %d\nda", i)
@@ -256,7 +268,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d\n\n", i, i); err != nil {
+		if _, err := fmt.Fprintf(rw, eventFormat, i, i); err != nil {
 			return
 		}
 		flusher.Flush()
