Don't fill a body that states a length with the start of another reply

What callers saw: an instance leaves out the last bytes of a body and replies once more on the same connection, 15 ms later. Routes lookup and order got a complete 200 whose last bytes were the head of the second copy, also in bodies over 1 MiB. Cause: another reply in a body was recognised by a head up to its ID only. If less is missing than that, the stated length is reached within the head, and the rest of it stays unread on the connection. Fix: a body that ends like the start of a status line or head is whole if nothing follows it, or a reply with a head of its own. It is refused if the bytes that follow go on with the head. They are looked for without a wait if they have arrived, as in one write of the instance; otherwise for 10 ms at most (surplusWait), which covers further segments of that write. Heads whose rest comes later than that aren't recognised. Other bodies wait for nothing: of random ones, one of 256 ends in "H". Bodies in chunks were safe, as the filled chunk isn't followed by the next one.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -107,25 +108,45 @@
 // openWithoutData reports whether an idle connection is open and has no unread
 // data. Data on an idle connection does not belong to any request.
 func (c *conn) openWithoutData() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
+	return c.reader.Buffered() == 0 && errors.Is(c.poll(), unix.EAGAIN)
+}
+
+// poll looks for bytes that the system has received, without waiting. It returns nil if there
+// are some or if the peer has ended the connection, and unix.EAGAIN if there is nothing.
+func (c *conn) poll() error {
 	syscallConn, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return errors.New("the connection has no file descriptor")
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return false
+		return errors.Wrap(err, "get file descriptor")
 	}
-	open := false
 	var one [1]byte
+	var recvErr error
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, recvErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = recvErr == unix.EAGAIN || recvErr == unix.EWOULDBLOCK
+		_, _, recvErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return errors.Wrap(err, "poll")
+	}
+	return recvErr
+}
+
+// surplus returns the bytes that have arrived after those that were read: more than count of
+// them, unless no more arrive until the deadline or the buffer is full.
+func (c *conn) surplus(count int, deadline time.Time) []byte {
+	if c.reader.Buffered() <= count {
+		_ = c.SetReadDeadline(deadline) // fails only on a closed connection
+		_, err := c.reader.Peek(count + 1)
+		_ = c.SetReadDeadline(time.Time{})
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.poll() == nil {
+			_, _ = c.reader.Peek(count + 1) // doesn't wait; an error shows as missing bytes
+		}
+	}
+	arrived, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	return arrived
 }
 
 // parseIdleTimeout returns the timeout parameter of a Keep-Alive header, which is
--- a/internal/exchange/embedded.go
+++ b/internal/exchange/embedded.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,11 +22,16 @@
 	// maxEarlierIDs is the number of requests of a connection whose late replies are
 	// recognised within a later one.
 	maxEarlierIDs = 16
+	// surplusWait is the maximum time for which a whole body that ends like the start of a
+	// head waits for the rest of it. The bytes before and after the end of the body come in
+	// one write of the instance, so that only the link comes between them.
+	surplusWait = 10 * time.Millisecond
 )
 
 var (
 	errEmbeddedReply = errors.New("another reply begins within the body")
 	errRepeatedReply = errors.New("the reply is repeated with another body")
+	errFilledBody    = errors.New("the body ends within the head of another reply")
 )
 
 // embeddedReplies finds the head of another reply within a body: a second copy of this
@@ -41,6 +47,10 @@
 	id      string
 	earlier []string
 	matches func(h http.Header, id string, reused bool) bool
+	// surplus returns the bytes after the body that have arrived: more than count of them,
+	// unless no more arrive until the deadline. It is nil if the body has no length.
+	surplus  func(count int, deadline time.Time) []byte
+	deadline time.Time // of waiting for surplus bytes; zero before the first wait
 
 	part    []byte
 	ready   []byte // part of the body that has not been read
@@ -50,8 +60,8 @@
 	length  int64 // bytes of the body, up to ready
 }
 
-// Read implements io.Reader. It returns an error if the body contains another reply, unless
-// the body ends with the connection and is followed by a second copy of itself.
+// Read implements io.Reader. It returns an error if the body contains another reply or its
+// start, unless the body ends with the connection and is followed by a second copy of itself.
 func (e *embeddedReplies) Read(buffer []byte) (int, error) {
 	for len(e.ready) == 0 {
 		if e.err != nil {
@@ -87,10 +97,7 @@
 	for {
 		start := bytes.Index(e.pending[body:], []byte(statusLinePrefix))
 		if start < 0 {
-			body = len(e.pending)
-			if e.err == nil {
-				body -= commonEnd(e.pending, statusLinePrefix)
-			}
+			body = len(e.pending) - commonEnd(e.pending, statusLinePrefix)
 			break
 		}
 		start += body
@@ -99,6 +106,11 @@
 			body = start
 			break
 		}
+		if !known && e.filledFrom(start) {
+			e.release(start)
+			e.err = errFilledBody
+			return
+		}
 		if !known && !malformed && e.endsWithConnection && bytes.Contains(e.pending[start:], []byte("\r\n")) {
 			e.release(start)
 			e.err = errRepeatedReply // cut within its head
@@ -111,9 +123,48 @@
 		}
 		body = start + len(statusLinePrefix)
 	}
+	switch {
+	case e.filledFrom(body):
+		e.err = errFilledBody
+	case e.err != nil:
+		body = len(e.pending)
+	}
 	e.release(body)
 }
 
+// filledFrom reports whether the pending bytes from start on are the start of another reply,
+// which fills a body whose own end is missing. Then the rest of the head follows the body,
+// while a whole body is followed by nothing, or by a reply with a head of its own.
+func (e *embeddedReplies) filledFrom(start int) bool {
+	filler := e.pending[start:]
+	if e.surplus == nil || len(filler) == 0 || !errors.Is(e.err, io.EOF) || !replyconn.StatusLineStart(filler) {
+		return false
+	}
+	if e.deadline.IsZero() {
+		e.deadline = time.Now().Add(surplusWait)
+	}
+	surplus := e.surplus(0, e.deadline)
+	for len(surplus) > 0 {
+		text := slices.Concat(filler, surplus)
+		if bytes.HasPrefix(surplus, []byte(statusLinePrefix)) || !replyconn.StatusLineStart(text) {
+			return false
+		}
+		if len(filler) < statusLineLen && len(text) >= statusLineLen {
+			return true
+		}
+		head, known, malformed := replyHead(text)
+		if _, found := e.identify(head); found || head == nil {
+			return found
+		}
+		more := e.surplus(len(surplus), e.deadline)
+		if known || len(more) == len(surplus) {
+			return !malformed
+		}
+		surplus = more
+	}
+	return false
+}
+
 // release moves the first bytes of pending to ready.
 func (e *embeddedReplies) release(count int) {
 	e.ready = append(e.ready[:0:0], e.pending[:count]...)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -179,10 +179,14 @@
 	if request.ID == "" || r.response.Body == http.NoBody {
 		return r.response.Body
 	}
-	return &embeddedReplies{
+	body := &embeddedReplies{
 		source: r.response.Body, endsWithConnection: !r.Framed(), method: request.Method,
 		id: request.ID, earlier: earlier, matches: request.Matches,
 	}
+	if r.Length >= 0 {
+		body.surplus = r.conn.surplus
+	}
+	return body
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete.
--- a/internal/exchange/export_test.go
+++ b/internal/exchange/export_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // ReadForTest reads one reply to a request with a method from c.
@@ -28,3 +29,18 @@
 		matches: func(h http.Header, id string, _ bool) bool { return h.Get("X-Request-Id") == id },
 	}
 }
+
+// BodyWithLengthForTest returns the body of a reply with a length. surplus returns what
+// follows the body, as that of a connection does.
+func BodyWithLengthForTest(source io.Reader, id string, surplus func(count int, deadline time.Time) []byte) io.Reader {
+	return &embeddedReplies{
+		source: source, method: http.MethodGet, id: id, surplus: surplus,
+		matches: func(h http.Header, id string, _ bool) bool { return h.Get("X-Request-Id") == id },
+	}
+}
+
+// SurplusForTest returns the bytes that arrive on c until the deadline, at least one more than
+// count of them.
+func SurplusForTest(c net.Conn, count int, deadline time.Time) []byte {
+	return newConn(c).surplus(count, deadline)
+}
