Forward only events that continue the stream

What callers saw: where an instance resumes a stream from its beginning, repeats or leaves out events, or sends those of another run, the client got a complete stream with events twice, out of order or missing. The same within one run, and for a client that resumes a stream itself. Shown with stand-ins. Cause: events were forwarded as they came; the last ID was kept for the next attempt only, and never compared with the events of it. Fix: eventOrder compares the ID of each event with the one before, over all attempts and, on routes that may be resumed, with the client's Last-Event-Id. An event whose ID isn't greater breaks the attempt: it is resumed elsewhere after the last event, or the connection of the client is aborted. Where an instance takes over, a larger step than all those before, if there were two and all were equal, breaks it too. IDs that aren't integers, and steps within a run, aren't judged, as one event may hold several tokens. The connection didn't break, so that no crash is assumed. Unchanged: a stream that goes on with no event ends as incomplete.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -70,7 +70,7 @@
 		}
 	})()
 	unsentCount := 0
-	stream := &streamState{lastID: q.info.LastEvent}
+	stream := q.newStreamState()
 	for tries := 0; ; tries++ {
 		if tries > 0 && q.quarantined() {
 			q.respondProblem(q.promptQuarantined())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -31,6 +31,7 @@
 type streamState struct {
 	started bool   // an event reached the client
 	lastID  string // ID of the last event that reached the client
+	order   eventOrder
 }
 
 // resumable reports whether another attempt can continue after the last event.
@@ -49,12 +50,16 @@
 	defer pending.free()
 	part := make([]byte, streamBufferBytes)
 	var stall *stallTimer
+	stream.order.resume()
 	for {
 		n, err := reply.Read(part)
 		if addErr := pending.add(part[:n]); addErr != nil {
 			return q.streamFailed(ctx, reservation, stream, sent, addErr)
 		}
 		complete := completeEventsLen(pending.data)
+		if followed := stream.order.follow(pending.data[:complete]); followed < complete {
+			complete, err = followed, errEventOrder
+		}
 		progress := containsEvent(pending.data[:complete])
 		if progress && stall == nil {
 			q.attemptTimer.stop()
@@ -125,7 +130,7 @@
 	if stalled {
 		return broken, errStalled.Error()
 	}
-	if !errors.Is(err, errBufferMemory) && !errors.Is(err, io.ErrShortBuffer) {
+	if !errors.Is(err, errBufferMemory) && !errors.Is(err, io.ErrShortBuffer) && !errors.Is(err, errEventOrder) {
 		q.connectionBroke(reservation)
 	}
 	if stream.started {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 )
 
@@ -33,3 +34,26 @@
 		}
 	})
 }
+
+// Guards against an order of events that depends on the parts in which they arrive.
+func TestEventOrderOfPartsIsThatOfTheWhole(t *testing.T) {
+	const inOrder = "id: -9223372036854775808\n\n: c\n\nid: 9223372036854775806\r\ndata: a\r\n\r\ndata: b\n\n"
+	const text = inOrder + "id: 9223372036854775807\n\nid: 9223372036854775807\n\nid: 1\n\n"
+	for size := 1; size <= len(text); size++ {
+		var order eventOrder
+		var pending, forwarded []byte
+		for part := range slices.Chunk([]byte(text), size) {
+			pending = append(pending, part...)
+			complete := completeEventsLen(pending)
+			followed := order.follow(pending[:complete])
+			forwarded = append(forwarded, pending[:followed]...)
+			if followed < complete {
+				break
+			}
+			pending = pending[complete:]
+		}
+		if want := inOrder + "id: 9223372036854775807\n\n"; string(forwarded) != want {
+			t.Errorf("in parts of %d: %q, want %q", size, forwarded, want)
+		}
+	}
+}
