Test streams that are followed by their copy, and fuzz filled bodies

Cause: the tests of filled bodies had no stream. Change: TestStreamIsNotFilledWithItsCopy, 1 to 140 missing bytes of a stream with a length, in chunks and without either. FuzzBodyWithLength: bodies that nothing follows pass unchanged, and no byte of a filler is returned.

--- a/internal/exchange/filledbody_test.go
+++ b/internal/exchange/filledbody_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -174,3 +175,24 @@
 		return exchange.SurplusForTest(late, 0, time.Now().Add(-time.Second))
 	}, time.Second).Should(Equal([]byte("surplus")))
 }
+
+// Bodies that nothing follows pass unchanged, and no byte of a filler is returned.
+func FuzzBodyWithLength(f *testing.F) {
+	for _, c := range bodiesLikeFilled {
+		f.Add(c.body, c.surplus)
+	}
+	f.Fuzz(func(t *testing.T, text, surplus string) {
+		if strings.Contains(text, "r2") {
+			t.Skip("may be a second copy")
+		}
+		for _, follows := range []string{"", surplus} {
+			source := iotest.DataErrReader(strings.NewReader(text))
+			data, err := io.ReadAll(exchange.BodyWithLengthForTest(source, "r2", func(count int, _ time.Time) []byte {
+				return []byte(follows[:min(count+7, len(follows))])
+			}))
+			if follows == "" && err != nil || err == nil && string(data) != text || !strings.HasPrefix(text, string(data)) {
+				t.Errorf("%q before %q: got %q, error %v", text, follows, data, err)
+			}
+		}
+	})
+}
--- a/internal/relay/filledbody_test.go
+++ b/internal/relay/filledbody_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
 )
 
@@ -57,3 +59,46 @@
 		})
 	}
 }
+
+// Guards against a stream that ends as complete, or whose last event is filled, because a
+// second copy of it follows a part: by its length, in chunks, or with the connection.
+func TestStreamIsNotFilledWithItsCopy(t *testing.T) {
+	const maxMissing = 140
+	stream := events(0, 12)
+	for framing, text := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stream), stream),
+		"chunk":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(stream), stream),
+		"none":   "\r\n" + stream,
+	} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newFixture(t)
+			s.retryBudget.Store(2 * maxMissing)
+			var missing atomic.Int64
+			for _, service := range []string{"report", "query"} {
+				s.rawInstance("cut-"+service, service, func(w io.Writer, id string) error {
+					reply := head(id, streamFields+text)
+					end := strings.LastIndex(reply, "\n\n") + 2
+					if _, err := io.WriteString(w, reply[:end-int(missing.Load())]); err != nil {
+						return err
+					}
+					time.Sleep(5 * time.Millisecond)
+					_, err := io.WriteString(w, reply)
+					return err
+				})
+			}
+			s.worker("sound", "query", worker.Behaviour{})
+			s.workers["sound"].Events = 12
+			s.set.SetRemoteLoads(map[string]fleet.Load{"sound": {Inflight: 300}}) // the other comes first
+			for missing.Store(1); missing.Load() <= maxMissing; missing.Add(1) {
+				a := s.send(t.Context(), "/report/1", nil)
+				g.Expect(a.err).To(HaveOccurred(), "%d missing: %q", missing.Load(), a.body)
+				g.Expect(stream).To(HavePrefix(a.body))
+				a = s.send(t.Context(), "/query/1", nil)
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.body).To(Equal(stream), "%d missing", missing.Load())
+			}
+		})
+	}
+}
