--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -179,10 +179,14 @@
 	if request.ID == "" || r.response.Body == http.NoBody {
 		return r.response.Body
 	}
-	return &embeddedReplies{
+	body := &embeddedReplies{
 		source: r.response.Body, endsWithConnection: !r.Framed(), method: request.Method,
 		id: request.ID, earlier: earlier, matches: request.Matches,
 	}
+	if r.Length >= 0 {
+		body.surplus = r.conn.surplus
+	}
+	return body
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete.
@@ -196,7 +200,16 @@
 
 // Framed reports whether the end of the body shows in the reply itself, and not just as
 // the end of the connection.
-func (r *Reply) Framed() bool { return r.Length >= 0 || len(r.response.TransferEncoding) > 0 }
+func (r *Reply) Framed() bool { return framed(r.response) }
+
+func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
+// Proved reports whether framing proves that the body is whole once Read has returned io.EOF:
+// its own, or that of an equal second copy which follows it on the connection.
+func (r *Reply) Proved() bool {
+	body, ok := r.body.(*embeddedReplies)
+	return r.Framed() || ok && body.proved
+}
 
 // Detoured reports whether the connection leads through another daemon.
 func (r *Reply) Detoured() bool {
