Recognise crashes of processes whose listener ends after their connections

What callers saw: a prompt that crashes instances was counted for a part of the crashes only, so that more instances ended by it. Cause: when a process is killed, its system closes the connections first and the listener last. Fix: an instance counts as alive if it also accepts a connection 5 ms later. One that refuses the first is still recorded at once.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -22,6 +22,9 @@
 	// probeTimeout bounds the connection attempt that tells whether an instance is alive.
 	// It leaves time for a way through another daemon if this one has lost its links.
 	probeTimeout = time.Second
+	// settleTime is how long the end of a connection may come before the end of the listener
+	// when a process is killed. The system closes the connections first, one after the other.
+	settleTime = 5 * time.Millisecond
 	// crashRetention is how long a crash applies to further requests that break off at the same
 	// incarnation of an instance.
 	crashRetention = time.Second
@@ -177,11 +180,25 @@
 	return i
 }
 
-// investigate connects to an instance at which a request broke off.
+// investigate connects to an instance at which a request broke off, at once, and once more
+// if it accepts the connection.
 func (w *Watch) investigate(instance fleet.Description, i *Investigation) {
+	err := w.connect(instance)
+	if err == nil {
+		time.Sleep(settleTime)
+		err = w.connect(instance)
+	}
+	w.conclude(instance, i, err)
+}
+
+func (w *Watch) connect(instance fleet.Description) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := w.config.Connect(ctx, instance.Address)
+	return w.config.Connect(ctx, instance.Address)
+}
+
+// conclude ends an investigation with the result of Connect.
+func (w *Watch) conclude(instance fleet.Description, i *Investigation, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(i.done)
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,3 +77,26 @@
 		return len(state)
 	}).Should(Equal(1))
 }
+
+// The system of a killed process ends its connections first and then its listener, which
+// accepts connections until then. Guards against taking the instance for alive.
+func TestListenerThatEndsShortlyAfterwardsIsNoProofOfLife(t *testing.T) {
+	g := NewWithT(t)
+	now := func() time.Duration { return time.Minute }
+	guard := crashguard.New(crashguard.Config{
+		Now: now, Daemons: func() int { return 1 }, OnChange: func(string, bool, int, []string) {},
+	})
+	var ended atomic.Bool
+	w := crashwatch.New(crashwatch.Config{
+		Log: slog.New(slog.DiscardHandler), Now: now, Guard: guard,
+		Connect: func(context.Context, string) error {
+			if ended.Swap(true) {
+				return errors.New("connection refused")
+			}
+			return nil
+		},
+		Serving: func(fleet.Description) bool { return true },
+	})
+	search := w.Broke(fleet.Description{ID: "i"}, crashguard.Request{Parts: []string{"a"}})
+	g.Expect(search.Wait(t.Context())).To(Equal(crashwatch.Crashed))
+}
