Refuse replies without framing that their instance did not outlive

What callers saw: an instance's process is killed in the middle of a reply that has neither a length nor chunks. Callers got the part as a complete answer: with its length (up to 1 MiB), or with a last chunk (longer bodies, streams). Cause: the end of the connection was taken for the end of the body. The system of a killed process ends its connections in order if they have no unread data, so that this end alone proves nothing. The crash was looked for afterwards, and only for requests with prompts. Fix: at such an end, crashwatch connects to the instance 5 ms later, when the listener of a killed process has ended too, and before the caller is told that the answer is complete. A refused connection refutes the reply, unless the instance announced its end or restarted before the request: the request is repeated or resumed where that is allowed, and ends as broken otherwise. An instance that accepts the connection has outlived the reply. Anything else (no answer within 250 ms, lost links, a leaving instance) proves nothing, and the reply counts as whole, as the protocol defines. Replies that end at once share an attempt that began after them.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -71,10 +71,11 @@
 // Investigation is the search for the reason why requests broke off at one incarnation
 // of an instance.
 type Investigation struct {
-	began    time.Duration        // when the first request broke off
+	began    time.Duration        // when the first request broke off, or its reply ended
 	requests []crashguard.Request // not yet passed to the Guard
 	done     chan struct{}        // closed when the reason is known
 	reason   Reason               // valid when done is closed
+	err      error                // of Connect; valid when done is closed
 }
 
 // Reason is why requests broke off.
@@ -127,14 +128,14 @@
 	return w.config.Guard.Refuses(r, repeat)
 }
 
-// Completed records a request whose reply has ended without an error. If the reply was
-// not framed, its end may as well be that of the instance, so that the instance must
+// Completed records a request whose reply has ended without an error. If the reply isn't
+// proved to be whole, its end may as well be that of the instance, so that the instance must
 // still accept connections.
-func (w *Watch) Completed(instance fleet.Description, r crashguard.Request, framed bool) {
+func (w *Watch) Completed(instance fleet.Description, r crashguard.Request, proved bool) {
 	if !r.HasPrompt() {
 		return
 	}
-	if framed {
+	if proved {
 		w.config.Guard.Completed(r)
 		return
 	}
@@ -153,9 +154,24 @@
 	if !r.HasPrompt() || !w.config.Serving(instance) {
 		return unexamined
 	}
-	key := incarnation{instance.ID, instance.Incarnation, instance.Address}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	i := w.examine(instance, 0, w.investigateAgain)
+	switch {
+	case i == unexamined:
+	case i.isDone():
+		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, []crashguard.Request{r})
+	case len(i.requests) < maxRequests:
+		i.requests = append(i.requests, r)
+	}
+	return i
+}
+
+// examine returns the investigation of an instance: the one in progress, the one that found
+// it crashed at since or later, or a new one, which it carries out by search. The caller
+// holds the lock.
+func (w *Watch) examine(instance fleet.Description, since time.Duration, search func(fleet.Description, *Investigation)) *Investigation {
+	key := incarnation{instance.ID, instance.Incarnation, instance.Address}
 	now := w.config.Now()
 	for other, i := range w.investigations {
 		if now-i.began > crashRetention {
@@ -163,32 +179,33 @@
 		}
 	}
 	i := w.investigations[key]
-	if i == nil || i.isDone() && i.reason != Crashed {
-		if len(w.investigations) >= maxInvestigations {
-			return unexamined
-		}
-		i = &Investigation{began: now, done: make(chan struct{})}
-		w.investigations[key] = i
-		go w.investigate(instance, i)
+	if i != nil && (!i.isDone() || i.reason == Crashed && i.began >= since) {
+		return i
 	}
-	switch {
-	case i.isDone():
-		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, []crashguard.Request{r})
-	case len(i.requests) < maxRequests:
-		i.requests = append(i.requests, r)
+	if i == nil && len(w.investigations) >= maxInvestigations {
+		return unexamined
 	}
+	i = &Investigation{began: now, done: make(chan struct{})}
+	w.investigations[key] = i
+	go search(instance, i)
 	return i
 }
 
-// investigate connects to an instance at which a request broke off, at once, and once more
-// if it accepts the connection.
-func (w *Watch) investigate(instance fleet.Description, i *Investigation) {
-	err := w.connect(instance)
-	if err == nil {
-		time.Sleep(settleTime)
-		err = w.connect(instance)
+// investigateAgain connects to an instance at which a request broke off, at once, and once
+// more if it accepts the connection.
+func (w *Watch) investigateAgain(instance fleet.Description, i *Investigation) {
+	if err := w.connect(instance); err != nil {
+		w.conclude(instance, i, err)
+		return
 	}
-	w.conclude(instance, i, err)
+	w.investigate(instance, i)
+}
+
+// investigate connects to an instance when a listener that ends with its connections has
+// ended too.
+func (w *Watch) investigate(instance fleet.Description, i *Investigation) {
+	time.Sleep(settleTime)
+	w.conclude(instance, i, w.connect(instance))
 }
 
 func (w *Watch) connect(instance fleet.Description) error {
@@ -202,6 +219,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(i.done)
+	i.err = err
 	switch {
 	case err == nil:
 		i.reason = Alive
@@ -215,7 +233,9 @@
 		metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
 		w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
 			"requests", len(i.requests), "parts", parts(i.requests), "error", err)
-		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, i.requests)
+		if len(i.requests) > 0 {
+			w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, i.requests)
+		}
 	}
 }
 
--- a/internal/relay/killed_test.go
+++ b/internal/relay/killed_test.go
@@ -9,14 +9,17 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/fleet"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
+	"github.com/dogwoodrudder/dogwoodrudder/test/standin/worker"
 )
 
 // instanceProcess is the environment variable with which the test binary runs as an
@@ -133,3 +136,166 @@
 	}
 	g.Expect(recorded).To(Equal(killedProcesses))
 }
+
+// An instance's process is killed in the middle of a reply without framing, so that its
+// system ends the connection in order. Guards against a part that reaches the client as a
+// complete answer, and against a crash that isn't recorded.
+func TestReplyOfAKilledInstanceIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/order/1", "/order/long", "/lookup/long", "/report/1"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			g := NewWithT(t)
+			complete, recorded := 0, 0
+			for range killedProcesses {
+				s := newFixture(t)
+				ended := s.killedInstance(strings.Split(path, "/")[1])
+				a := s.send(t.Context(), path, map[string]string{"X-Prefix-Hash": "a1:500,b1:40"})
+				<-ended
+				if state, _ := s.guard.Export(); len(state) > 0 {
+					recorded++
+				}
+				if a.err == nil && a.status == http.StatusOK {
+					complete++
+				}
+				if path == "/order/1" {
+					g.Expect(a.status).To(BeElementOf(http.StatusOK, http.StatusBadGateway))
+				}
+			}
+			g.Expect(complete).To(BeZero(), "of %d", killedProcesses)
+			g.Expect(recorded).To(Equal(killedProcesses))
+		})
+	}
+}
+
+// Where the request may be repeated or resumed, another instance can serve it. Guards against
+// a part in place of its answer.
+func TestReplyOfAKilledInstanceIsRepeated(t *testing.T) {
+	for path, whole := range map[string]func(answer) bool{
+		"/lookup/1": func(a answer) bool { return a.body != "part" },
+		"/query/1":  func(a answer) bool { return a.body == events(0, 6) },
+	} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			g := NewWithT(t)
+			broken := 0
+			for range killedProcesses {
+				s := newFixture(t)
+				service := strings.Split(path, "/")[1]
+				ended := s.killedInstance(service)
+				s.worker("sound", service, worker.Behaviour{})
+				for alive := true; alive; {
+					if a := s.send(t.Context(), path, nil); a.err != nil || a.status != http.StatusOK || !whole(a) {
+						broken++
+					}
+					select {
+					case <-ended:
+						alive = false
+					case <-time.After(2 * settledAfter):
+					}
+				}
+			}
+			g.Expect(broken).To(BeZero(), "of %d", killedProcesses)
+		})
+	}
+}
+
+// An instance's connections end shortly before its listener does. Guards against taking the
+// instance for alive in between, and against refused replies that no metric shows.
+func TestListenerThatOutlivesAReplyShortlyIsNoProof(t *testing.T) {
+	for _, path := range []string{"/order/1", "/order/long", "/lookup/long", "/report/1"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			g := NewWithT(t)
+			refuted := metrics.GetOrCreateCounter(`rudder_relay_unframed_replies_total{verdict="refuted"}`)
+			before := refuted.Get()
+			s := newFixture(t)
+			s.endingInstance(strings.Split(path, "/")[1], func(c *net.TCPConn, r *http.Request, closeListener func()) {
+				writePart(c, r)
+				_ = c.Close()
+				time.Sleep(time.Millisecond)
+				closeListener()
+			})
+			a := s.send(t.Context(), path, nil)
+			g.Expect(a.err != nil || a.status == http.StatusBadGateway).To(BeTrue(), "status %d, %d bytes", a.status, len(a.body))
+			g.Expect(refuted.Get() - before).To(BeEquivalentTo(1))
+		})
+	}
+}
+
+// endingInstance announces an instance "w1" that can close its listener while it serves.
+func (s *fixture) endingInstance(service string, serve func(c *net.TCPConn, r *http.Request, closeListener func())) {
+	s.t.Helper()
+	var server *rawreply.Server
+	ready := make(chan struct{})
+	server, err := rawreply.Start(func(c *net.TCPConn, r *http.Request) {
+		<-ready
+		serve(c, r, server.Close)
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	close(ready)
+	s.t.Cleanup(server.Close)
+	s.set.Put(fleet.Description{ID: "w1", Service: service, Address: server.Address(), DataCentre: "dc", Slots: 8})
+}
+
+// An instance closes its listener, answers its last request without framing and exits.
+// Guards against refusing the whole answer of an instance that has announced its end.
+func TestLastReplyOfALeavingInstanceIsForwarded(t *testing.T) {
+	for name, announce := range map[string]func(s *fixture, d fleet.Description) string{
+		"marked in the store": func(s *fixture, d fleet.Description) string {
+			d.Leaving = true
+			s.set.Put(d)
+			return ""
+		},
+		"removed from the store": func(s *fixture, d fleet.Description) string {
+			s.set.Remove(d.ID)
+			return ""
+		},
+		"notice in the reply": func(*fixture, fleet.Description) string { return "Server-Leaving: 1\r\n" },
+	} {
+		for _, service := range []string{"order", "lookup", "query", "report"} {
+			t.Run(name+", "+service, func(t *testing.T) {
+				g := NewWithT(t)
+				s := newFixture(t)
+				s.endingInstance(service, func(c *net.TCPConn, r *http.Request, closeListener func()) {
+					closeListener()
+					fields := announce(s, s.set.Snapshot(service)[0].Description)
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, head(r.Header.Get("X-Request-Id"), fields+"\r\n")+events(0, 6))
+				})
+				a := s.send(t.Context(), "/"+service+"/1", nil)
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.status).To(Equal(http.StatusOK))
+				g.Expect(a.body).To(Equal(events(0, 6)))
+			})
+		}
+	}
+}
+
+// Guards against refusing whole replies without framing of an instance that lives on, and
+// against holding them back for long.
+func TestRepliesWithoutFramingAreForwarded(t *testing.T) {
+	for _, service := range []string{"order", "lookup", "query", "report"} {
+		t.Run(service, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFixture(t)
+			s.rawServer("w1", service, rawreply.Whole(func(r *http.Request) string {
+				return head(r.Header.Get("X-Request-Id"), "\r\n") + events(0, 6)
+			}))
+			var clients sync.WaitGroup
+			answers := make(chan answer, 200)
+			for range 8 {
+				clients.Go(func() {
+					for range cap(answers) / 8 {
+						answers <- s.send(t.Context(), "/"+service+"/1", nil)
+					}
+				})
+			}
+			clients.Wait()
+			close(answers)
+			for a := range answers {
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.status).To(Equal(http.StatusOK))
+				g.Expect(a.body).To(Equal(events(0, 6)))
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,9 +78,12 @@
 	// Broke records a request whose connection to an instance ended without a complete
 	// reply, and finds out whether the instance crashed.
 	Broke(instance fleet.Description, r crashguard.Request) *crashwatch.Investigation
-	// Completed records a request whose reply has ended without an error. framed tells
-	// that the reply stated its length, or was chunked.
-	Completed(instance fleet.Description, r crashguard.Request, framed bool)
+	// Completed records a request whose reply has ended without an error. proved tells
+	// that the instance has certainly not crashed before.
+	Completed(instance fleet.Description, r crashguard.Request, proved bool)
+	// Ended judges a reply to a request sent at a time, on the boot clock, that has just
+	// ended with its connection. The error is why it is refuted.
+	Ended(ctx context.Context, instance fleet.Description, sent time.Duration) (crashwatch.Verdict, error)
 }
 
 // Options configure a Relay.
@@ -370,10 +373,11 @@
 	return r
 }
 
-// completed records a successful reply that has ended.
-func (q *request) completed(reservation *fleet.Reservation, reply *exchange.Reply, sent time.Time) {
+// completed records a successful reply that has ended. proved reports that it is known to be
+// whole.
+func (q *request) completed(reservation *fleet.Reservation, proved bool, sent time.Time) {
 	options := &q.relay.options
-	options.Crashes.Completed(reservation.Description, q.prompt(), reply.Framed())
+	options.Crashes.Completed(reservation.Description, q.prompt(), proved)
 	reservation.ObserveDuration(options.Clock.Since(sent))
 	if q.attempts == 1 { // otherwise other instances may have made a part of the answer
 		options.Versions.Completed(q.service.Name, q.route.Name, reservation.Version, options.Clock.Since(sent))
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -33,6 +33,10 @@
 	defer body.free()
 	err := body.readAll(reply, maxBufferedBytes)
 	q.attemptTimer.stop()
+	proved := false
+	if err == nil {
+		proved, err = q.checkEnd(ctx, reply, reservation)
+	}
 	if err != nil && !forwardable(err) {
 		if outcome, ended := q.contextOutcome(ctx, reservation); ended {
 			return outcome, err.Error()
@@ -53,7 +57,7 @@
 		return outcome, reason
 	}
 	q.observeSuccess(reservation, latency)
-	q.completed(reservation, reply, sent)
+	q.completed(reservation, proved, sent)
 	q.writeHead(reply, int64(len(body.data)))
 	if _, err := q.writer.Write(body.data); err != nil {
 		return left, err.Error()
@@ -97,7 +101,9 @@
 			return left, err.Error()
 		}
 		if errors.Is(readErr, io.EOF) {
-			return answered, ""
+			if _, readErr = q.checkEnd(ctx, reply, reservation); readErr == nil {
+				return answered, ""
+			}
 		}
 		if readErr != nil {
 			if outcome, ended := q.contextOutcome(ctx, reservation); ended {
@@ -119,6 +125,9 @@
 	body := buffer{budget: q.relay.options.ReplyMemory}
 	defer body.free()
 	err := body.readAll(reply, maxBufferedBytes)
+	if err == nil {
+		_, err = q.checkEnd(ctx, reply, reservation)
+	}
 	unbuffered := err != nil && forwardable(err)
 	if err != nil && !unbuffered {
 		return lost, "truncated failure " + status
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -77,12 +77,16 @@
 		if progress {
 			stall.progressed(q, stream)
 		}
+		proved, ended := false, errors.Is(err, io.EOF) && stall != nil && !containsEvent(pending.data)
+		if ended {
+			proved, err = q.checkEnd(ctx, reply, reservation)
+		}
 		switch {
-		case errors.Is(err, io.EOF) && stall != nil && !containsEvent(pending.data):
+		case ended && err == nil:
 			if _, writeErr := q.writer.Write(pending.data); writeErr != nil {
 				return left, writeErr.Error()
 			}
-			q.completed(reservation, reply, sent)
+			q.completed(reservation, proved, sent)
 			return answered, ""
 		case err != nil:
 			return q.streamFailed(ctx, reservation, stream, sent, err)
