Judge the last replies of leaving instances too

What callers saw: a leaving instance is killed before it has finished, as at the end of a reclaim. The part of a reply without framing was a complete answer. Cause: the end of an instance that announced it told nothing about its replies, since a sound one ends after its last one. Fix: the instance is examined as others are. One that still accepts connections has outlived the reply. If it refuses them, another request that broke off at it within 5 ms refutes the reply, as a killed process ends all of its connections at once. Otherwise the reply is suspect: one that may be repeated is, if another instance, an attempt and a retry of the budget are left, since that is cheap. An order and a stream are passed on as whole, since most such replies are. None of this counts as a crash, or as a failure of the instance. Limit: a killed leaving instance whose only request of this daemon is an order or a stream without framing can't be told from one that exits after its last answer.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -58,7 +58,8 @@
 	config Config
 
 	mu             sync.Mutex
-	investigations map[incarnation]*Investigation
+	investigations map[subject]*Investigation
+	broke          map[incarnation]time.Duration // when a request last broke off
 }
 
 // incarnation identifies one start of an instance.
@@ -68,10 +69,22 @@
 	address string
 }
 
+// subject is what an investigation is about. An instance that has announced its end doesn't
+// crash.
+type subject struct {
+	incarnation
+	leaving bool
+}
+
+func incarnationOf(d fleet.Description) incarnation {
+	return incarnation{d.ID, d.Incarnation, d.Address}
+}
+
 // Investigation is the search for the reason why requests broke off at one incarnation
 // of an instance.
 type Investigation struct {
 	began    time.Duration        // when the first request broke off, or its reply ended
+	leaving  bool                 // the instance had announced its end
 	requests []crashguard.Request // not yet passed to the Guard
 	done     chan struct{}        // closed when the reason is known
 	reason   Reason               // valid when done is closed
@@ -120,7 +133,7 @@
 
 // New returns a Watch without investigations.
 func New(config Config) *Watch {
-	return &Watch{config: config, investigations: map[incarnation]*Investigation{}}
+	return &Watch{config: config, investigations: map[subject]*Investigation{}, broke: map[incarnation]time.Duration{}}
 }
 
 // Refuses reports whether a request must not be sent, as Guard.Refuses does.
@@ -139,7 +152,7 @@
 		w.config.Guard.Completed(r)
 		return
 	}
-	i := w.Broke(instance, r)
+	i := w.search(instance, r)
 	go func() {
 		if i.Wait(context.Background()) == Alive {
 			w.config.Guard.Completed(r)
@@ -151,12 +164,19 @@
 // complete reply, and begins to find out why. An instance that accepts a new connection is
 // alive.
 func (w *Watch) Broke(instance fleet.Description, r crashguard.Request) *Investigation {
+	w.recordBreak(instance)
+	return w.search(instance, r)
+}
+
+// search begins to find out whether an instance that has ended a connection crashed on the
+// request.
+func (w *Watch) search(instance fleet.Description, r crashguard.Request) *Investigation {
 	if !r.HasPrompt() || !w.config.Serving(instance) {
 		return unexamined
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i := w.examine(instance, 0, w.investigateAgain)
+	i := w.examine(subject{incarnation: incarnationOf(instance)}, 0, func(i *Investigation) { w.investigateAgain(instance, i) })
 	switch {
 	case i == unexamined:
 	case i.isDone():
@@ -167,27 +187,41 @@
 	return i
 }
 
-// examine returns the investigation of an instance: the one in progress, the one that found
-// it crashed at since or later, or a new one, which it carries out by search. The caller
-// holds the lock.
-func (w *Watch) examine(instance fleet.Description, since time.Duration, search func(fleet.Description, *Investigation)) *Investigation {
-	key := incarnation{instance.ID, instance.Incarnation, instance.Address}
+// recordBreak remembers when a request broke off at an instance.
+func (w *Watch) recordBreak(instance fleet.Description) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.config.Now()
+	for other, at := range w.broke {
+		if now-at > crashRetention {
+			delete(w.broke, other)
+		}
+	}
+	if len(w.broke) < maxInvestigations {
+		w.broke[incarnationOf(instance)] = now
+	}
+}
+
+// examine returns the investigation of a subject: the one in progress, the one that found it
+// crashed at since or later, or a new one, which it carries out by find. The caller holds
+// the lock.
+func (w *Watch) examine(s subject, since time.Duration, find func(*Investigation)) *Investigation {
 	now := w.config.Now()
 	for other, i := range w.investigations {
 		if now-i.began > crashRetention {
 			delete(w.investigations, other)
 		}
 	}
-	i := w.investigations[key]
+	i := w.investigations[s]
 	if i != nil && (!i.isDone() || i.reason == Crashed && i.began >= since) {
 		return i
 	}
 	if i == nil && len(w.investigations) >= maxInvestigations {
 		return unexamined
 	}
-	i = &Investigation{began: now, done: make(chan struct{})}
-	w.investigations[key] = i
-	go search(instance, i)
+	i = &Investigation{began: now, leaving: s.leaving, done: make(chan struct{})}
+	w.investigations[s] = i
+	go find(i)
 	return i
 }
 
@@ -227,18 +261,25 @@
 		i.reason = Unknown
 	default:
 		i.reason = Crashed
-		if w.config.OnCrash != nil {
-			w.config.OnCrash(instance, err)
-		}
-		metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
-		w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
-			"requests", len(i.requests), "parts", parts(i.requests), "error", err)
-		if len(i.requests) > 0 {
-			w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, i.requests)
+		if !i.leaving {
+			w.recordCrash(instance, i)
 		}
 	}
 }
 
+// recordCrash records the crash that an investigation has found. The caller holds the lock.
+func (w *Watch) recordCrash(instance fleet.Description, i *Investigation) {
+	if w.config.OnCrash != nil {
+		w.config.OnCrash(instance, i.err)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
+	w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
+		"requests", len(i.requests), "parts", parts(i.requests), "error", i.err)
+	if len(i.requests) > 0 {
+		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, i.requests)
+	}
+}
+
 // parts returns the parts of the prompts of requests, for the log.
 func parts(requests []crashguard.Request) []string {
 	var parts []string
--- a/internal/crashwatch/verdict_test.go
+++ b/internal/crashwatch/verdict_test.go
@@ -22,12 +22,13 @@
 	now      atomic.Int64 // time.Duration
 	connects atomic.Int64
 	instance fleet.Description
+	onCrash  func()
 }
 
 // newWatched returns a Watch. connect gets the number of the attempt, from 1; serving the
 // number of the question.
 func newWatched(connect func(ctx context.Context, attempt int64) error, serving func(question int64) bool) *watched {
-	w := &watched{instance: fleet.Description{ID: "i", Address: "10.0.0.1:80"}}
+	w := &watched{instance: fleet.Description{ID: "i", Address: "10.0.0.1:80"}, onCrash: func() {}}
 	now := func() time.Duration { return time.Duration(w.now.Load()) }
 	var questions atomic.Int64
 	w.Watch = crashwatch.New(crashwatch.Config{
@@ -37,6 +38,7 @@
 		}),
 		Connect: func(ctx context.Context, _ string) error { return connect(ctx, w.connects.Add(1)) },
 		Serving: func(fleet.Description) bool { return serving(questions.Add(1)) },
+		OnCrash: func(fleet.Description, error) { w.onCrash() },
 	})
 	w.now.Store(int64(time.Minute))
 	return w
@@ -44,6 +46,8 @@
 
 func always(int64) bool { return true }
 
+func never(int64) bool { return false }
+
 func refused() error { return errors.Wrap(exchange.ErrRefused, "connect") }
 
 // Guards against a part of a reply that counts as whole although its instance has crashed,
@@ -58,11 +62,12 @@
 		"alive":   {func(context.Context, int64) error { return nil }, always, crashwatch.Whole, 1},
 		"crashed": {func(context.Context, int64) error { return refused() }, always, crashwatch.Refuted, 1},
 		// The queue of a busy instance is full, or its link is lost.
-		"no answer":  {func(context.Context, int64) error { return errors.New("i/o timeout") }, always, crashwatch.Undecided, 1},
-		"links lost": {func(context.Context, int64) error { return errors.Wrap(exchange.ErrLinksLost, "connect") }, always, crashwatch.Undecided, 1},
-		"leaving":    {func(context.Context, int64) error { return refused() }, func(int64) bool { return false }, crashwatch.Undecided, 0},
+		"no answer":                    {func(context.Context, int64) error { return errors.New("i/o timeout") }, always, crashwatch.Undecided, 1},
+		"links lost":                   {func(context.Context, int64) error { return errors.Wrap(exchange.ErrLinksLost, "connect") }, always, crashwatch.Undecided, 1},
+		"leaving":                      {func(context.Context, int64) error { return refused() }, never, crashwatch.Suspect, 1},
+		"leaving, accepts connections": {func(context.Context, int64) error { return nil }, never, crashwatch.Whole, 1},
 		"leaving meanwhile": {
-			func(context.Context, int64) error { return refused() }, func(question int64) bool { return question == 1 }, crashwatch.Undecided, 1,
+			func(context.Context, int64) error { return refused() }, func(question int64) bool { return question == 1 }, crashwatch.Suspect, 1,
 		},
 		"hanging": {func(ctx context.Context, _ int64) error {
 			<-ctx.Done()
@@ -75,13 +80,47 @@
 			began := time.Now()
 			verdict, err := w.Ended(t.Context(), w.instance, 0)
 			g.Expect(verdict).To(Equal(c.want))
-			g.Expect(err != nil).To(Equal(c.want == crashwatch.Refuted))
+			g.Expect(err != nil).To(Equal(c.want == crashwatch.Refuted || c.want == crashwatch.Suspect))
 			g.Expect(w.connects.Load()).To(BeEquivalentTo(c.connects))
 			g.Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond))
 		})
 	}
 }
 
+// A leaving instance is killed, so that all of its requests break off at once. Guards against
+// taking the part of a reply for its last one, against recording a crash, and against a
+// suspicion because of a request that broke off earlier.
+func TestRequestsThatBreakOffTogetherRefuteAReply(t *testing.T) {
+	for name, c := range map[string]struct {
+		since time.Duration // from the break to the end of the reply
+		want  crashwatch.Verdict
+	}{"at once": {time.Millisecond, crashwatch.Refuted}, "earlier": {20 * time.Millisecond, crashwatch.Suspect}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			crashes := 0
+			w := newWatched(func(context.Context, int64) error { return refused() }, never)
+			w.onCrash = func() { crashes++ }
+			for _, r := range []crashguard.Request{{}, {Parts: []string{"a"}}} {
+				g.Expect(w.Broke(w.instance, r).Wait(t.Context())).To(Equal(crashwatch.Unknown))
+			}
+			w.now.Add(int64(c.since))
+			verdict, _ := w.Ended(t.Context(), w.instance, 0)
+			g.Expect(verdict).To(Equal(c.want))
+			g.Expect(crashes).To(BeZero())
+		})
+	}
+}
+
+// A leaving instance ends two replies at once. Guards against taking one for a request that
+// broke off.
+func TestCompletedRequestIsNoBreak(t *testing.T) {
+	g := NewWithT(t)
+	w := newWatched(func(context.Context, int64) error { return refused() }, never)
+	w.Completed(w.instance, crashguard.Request{Parts: []string{"a"}}, false)
+	verdict, _ := w.Ended(t.Context(), w.instance, 0)
+	g.Expect(verdict).To(Equal(crashwatch.Suspect))
+}
+
 // Guards against taking an instance that was alive before the end of a reply for one that
 // outlived it.
 func TestProofOfLifeIsLaterThanTheReply(t *testing.T) {
--- a/internal/relay/killed_test.go
+++ b/internal/relay/killed_test.go
@@ -46,6 +46,9 @@
 // runInstanceProcess serves requests until the first one has got a part of its reply.
 func runInstanceProcess() {
 	server, err := rawreply.Start(func(c *net.TCPConn, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "held") {
+			select {}
+		}
 		writePart(c, r)
 		time.Sleep(settledAfter)
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
@@ -66,7 +69,8 @@
 
 // partOfReply returns the start of a reply without framing: whole events on the routes of
 // streams, nothing on paths that end with "silent", more than is buffered on those that end
-// with "long", or a few bytes.
+// with "long", or a few bytes. On paths that end with "leaving" it announces the end of the
+// instance.
 func partOfReply(r *http.Request) string {
 	id := r.Header.Get("X-Request-Id")
 	switch {
@@ -77,6 +81,9 @@
 	case strings.HasSuffix(r.URL.Path, "long"):
 		return head(id, "\r\n") + strings.Repeat("p", 2<<20)
 	}
+	if strings.HasSuffix(r.URL.Path, "leaving") {
+		id += "\r\nServer-Leaving: 1"
+	}
 	return head(id, "\r\n") + "part"
 }
 
@@ -171,7 +178,9 @@
 func TestReplyOfAKilledInstanceIsRepeated(t *testing.T) {
 	for path, whole := range map[string]func(answer) bool{
 		"/lookup/1": func(a answer) bool { return a.body != "part" },
-		"/query/1":  func(a answer) bool { return a.body == events(0, 6) },
+		// The end of a leaving instance is no proof.
+		"/lookup/leaving": func(a answer) bool { return a.body != "part" },
+		"/query/1":        func(a answer) bool { return a.body == events(0, 6) },
 	} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			g := NewWithT(t)
@@ -197,6 +206,50 @@
 	}
 }
 
+// A leaving instance is killed while it runs several requests. Guards against a part of a
+// reply that reaches the client as complete although another request broke off with it.
+func TestReplyOfAKilledLeavingInstanceIsNotComplete(t *testing.T) {
+	g := NewWithT(t)
+	complete := 0
+	for range killedProcesses {
+		s := newFixture(t)
+		ended := s.killedInstance("order")
+		held := make(chan answer)
+		go func() { held <- s.send(t.Context(), "/order/held", nil) }()
+		time.Sleep(2 * settledAfter)
+		if a := s.send(t.Context(), "/order/leaving", nil); a.status == http.StatusOK {
+			complete++
+		}
+		g.Expect((<-held).status).To(Equal(http.StatusBadGateway))
+		<-ended
+	}
+	g.Expect(complete).To(BeZero(), "of %d", killedProcesses)
+}
+
+// Guards against refusing the last reply of a leaving instance because no retry is left, or
+// no other instance can take the request, and against taking retries beyond the budget.
+func TestLastReplyIsRepeatedOnlyWithinTheBudget(t *testing.T) {
+	for name, budget := range map[string]int64{"budget left": 1, "budget spent": 0} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFixture(t)
+			s.retryBudget.Store(budget)
+			s.endingInstance("lookup", func(c *net.TCPConn, r *http.Request, closeListener func()) {
+				closeListener()
+				s.worker("other", "lookup", worker.Behaviour{})
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, head(r.Header.Get("X-Request-Id"), "Server-Leaving: 1\r\n\r\n")+"whole")
+			})
+			a := s.send(t.Context(), "/lookup/1", nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Equal(http.StatusOK))
+			g.Expect(a.body == "whole").To(Equal(budget == 0), "body %q", a.body)
+			g.Expect(s.runs()).To(BeEquivalentTo(budget))
+			g.Expect(s.failures.Load()).To(BeZero())
+		})
+	}
+}
+
 // An instance's connections end shortly before its listener does. Guards against taking the
 // instance for alive in between, and against refused replies that no metric shows.
 func TestListenerThatOutlivesAReplyShortlyIsNoProof(t *testing.T) {
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -37,6 +37,9 @@
 	if err == nil {
 		proved, err = q.checkEnd(ctx, reply, reservation)
 	}
+	if errors.Is(err, errSuspectEnd) {
+		return lost, err.Error()
+	}
 	if err != nil && !forwardable(err) {
 		if outcome, ended := q.contextOutcome(ctx, reservation); ended {
 			return outcome, err.Error()
