--- a/internal/relay/killed_test.go
+++ b/internal/relay/killed_test.go
@@ -68,9 +68,9 @@
 }
 
 // partOfReply returns the start of a reply without framing: whole events on the routes of
-// streams, nothing on paths that end with "silent", more than is buffered on those that end
-// with "long", or a few bytes. On paths that end with "leaving" it announces the end of the
-// instance.
+// streams; by the end of other paths nothing ("silent"), more than is buffered ("long") or a
+// failure ("unknown"); or else a few bytes, after a notice that the instance is leaving
+// ("leaving").
 func partOfReply(r *http.Request) string {
 	id := r.Header.Get("X-Request-Id")
 	switch {
@@ -80,6 +80,8 @@
 		return ""
 	case strings.HasSuffix(r.URL.Path, "long"):
 		return head(id, "\r\n") + strings.Repeat("p", 2<<20)
+	case strings.HasSuffix(r.URL.Path, "unknown"):
+		return strings.Replace(head(id, "\r\n"), "200 OK", "404 Not Found", 1) + "part"
 	}
 	if strings.HasSuffix(r.URL.Path, "leaving") {
 		id += "\r\nServer-Leaving: 1"
@@ -253,7 +255,7 @@
 // An instance's connections end shortly before its listener does. Guards against taking the
 // instance for alive in between, and against refused replies that no metric shows.
 func TestListenerThatOutlivesAReplyShortlyIsNoProof(t *testing.T) {
-	for _, path := range []string{"/order/1", "/order/long", "/lookup/long", "/report/1"} {
+	for _, path := range []string{"/order/1", "/order/long", "/order/unknown", "/lookup/long", "/report/1"} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			g := NewWithT(t)
 			refuted := metrics.GetOrCreateCounter(`rudder_relay_unframed_replies_total{verdict="refuted"}`)
