--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -22,6 +22,9 @@
 	// probeTimeout bounds the connection attempt that tells whether an instance is alive.
 	// It leaves time for a way through another daemon if this one has lost its links.
 	probeTimeout = time.Second
+	// settleTime is how long the end of a connection may come before the end of the listener
+	// when a process is killed. The system closes the connections first, one after the other.
+	settleTime = 5 * time.Millisecond
 	// crashRetention is how long a crash applies to further requests that break off at the same
 	// incarnation of an instance.
 	crashRetention = time.Second
@@ -55,7 +58,8 @@
 	config Config
 
 	mu             sync.Mutex
-	investigations map[incarnation]*Investigation
+	investigations map[subject]*Investigation
+	broke          map[incarnation]time.Duration // when a request last broke off
 }
 
 // incarnation identifies one start of an instance.
@@ -65,13 +69,26 @@
 	address string
 }
 
+// subject is what an investigation is about. An instance that has announced its end doesn't
+// crash.
+type subject struct {
+	incarnation
+	leaving bool
+}
+
+func incarnationOf(d fleet.Description) incarnation {
+	return incarnation{d.ID, d.Incarnation, d.Address}
+}
+
 // Investigation is the search for the reason why requests broke off at one incarnation
 // of an instance.
 type Investigation struct {
-	began    time.Duration        // when the first request broke off
+	began    time.Duration        // when the first request broke off, or its reply ended
+	leaving  bool                 // the instance had announced its end
 	requests []crashguard.Request // not yet passed to the Guard
 	done     chan struct{}        // closed when the reason is known
 	reason   Reason               // valid when done is closed
+	err      error                // of Connect; valid when done is closed
 }
 
 // Reason is why requests broke off.
@@ -116,7 +133,7 @@
 
 // New returns a Watch without investigations.
 func New(config Config) *Watch {
-	return &Watch{config: config, investigations: map[incarnation]*Investigation{}}
+	return &Watch{config: config, investigations: map[subject]*Investigation{}, broke: map[incarnation]time.Duration{}}
 }
 
 // Refuses reports whether a request must not be sent, as Guard.Refuses does.
@@ -124,18 +141,18 @@
 	return w.config.Guard.Refuses(r, repeat)
 }
 
-// Completed records a request whose reply has ended without an error. If the reply was
-// not framed, its end may as well be that of the instance, so that the instance must
+// Completed records a request whose reply has ended without an error. If the reply isn't
+// proved to be whole, its end may as well be that of the instance, so that the instance must
 // still accept connections.
-func (w *Watch) Completed(instance fleet.Description, r crashguard.Request, framed bool) {
+func (w *Watch) Completed(instance fleet.Description, r crashguard.Request, proved bool) {
 	if !r.HasPrompt() {
 		return
 	}
-	if framed {
+	if proved {
 		w.config.Guard.Completed(r)
 		return
 	}
-	i := w.Broke(instance, r)
+	i := w.search(instance, r)
 	go func() {
 		if i.Wait(context.Background()) == Alive {
 			w.config.Guard.Completed(r)
@@ -147,44 +164,96 @@
 // complete reply, and begins to find out why. An instance that accepts a new connection is
 // alive.
 func (w *Watch) Broke(instance fleet.Description, r crashguard.Request) *Investigation {
+	w.recordBreak(instance)
+	return w.search(instance, r)
+}
+
+// search begins to find out whether an instance that has ended a connection crashed on the
+// request.
+func (w *Watch) search(instance fleet.Description, r crashguard.Request) *Investigation {
 	if !r.HasPrompt() || !w.config.Serving(instance) {
 		return unexamined
 	}
-	key := incarnation{instance.ID, instance.Incarnation, instance.Address}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	i := w.examine(subject{incarnation: incarnationOf(instance)}, 0, func(i *Investigation) { w.investigateAgain(instance, i) })
+	switch {
+	case i == unexamined:
+	case i.isDone():
+		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, []crashguard.Request{r})
+	case len(i.requests) < maxRequests:
+		i.requests = append(i.requests, r)
+	}
+	return i
+}
+
+// recordBreak remembers when a request broke off at an instance.
+func (w *Watch) recordBreak(instance fleet.Description) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.config.Now()
+	for other, at := range w.broke {
+		if now-at > crashRetention {
+			delete(w.broke, other)
+		}
+	}
+	if len(w.broke) < maxInvestigations {
+		w.broke[incarnationOf(instance)] = now
+	}
+}
+
+// examine returns the investigation of a subject: the one in progress, the one that found it
+// crashed at since or later, or a new one, which it carries out by find. The caller holds
+// the lock.
+func (w *Watch) examine(s subject, since time.Duration, find func(*Investigation)) *Investigation {
 	now := w.config.Now()
 	for other, i := range w.investigations {
 		if now-i.began > crashRetention {
 			delete(w.investigations, other)
 		}
 	}
-	i := w.investigations[key]
-	if i == nil || i.isDone() && i.reason != Crashed {
-		if len(w.investigations) >= maxInvestigations {
-			return unexamined
-		}
-		i = &Investigation{began: now, done: make(chan struct{})}
-		w.investigations[key] = i
-		go w.investigate(instance, i)
+	i := w.investigations[s]
+	if i != nil && (!i.isDone() || i.reason == Crashed && i.began >= since) {
+		return i
 	}
-	switch {
-	case i.isDone():
-		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, []crashguard.Request{r})
-	case len(i.requests) < maxRequests:
-		i.requests = append(i.requests, r)
+	if i == nil && len(w.investigations) >= maxInvestigations {
+		return unexamined
 	}
+	i = &Investigation{began: now, leaving: s.leaving, done: make(chan struct{})}
+	w.investigations[s] = i
+	go find(i)
 	return i
 }
 
-// investigate connects to an instance at which a request broke off.
+// investigateAgain connects to an instance at which a request broke off, at once, and once
+// more if it accepts the connection.
+func (w *Watch) investigateAgain(instance fleet.Description, i *Investigation) {
+	if err := w.connect(instance); err != nil {
+		w.conclude(instance, i, err)
+		return
+	}
+	w.investigate(instance, i)
+}
+
+// investigate connects to an instance when a listener that ends with its connections has
+// ended too.
 func (w *Watch) investigate(instance fleet.Description, i *Investigation) {
+	time.Sleep(settleTime)
+	w.conclude(instance, i, w.connect(instance))
+}
+
+func (w *Watch) connect(instance fleet.Description) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := w.config.Connect(ctx, instance.Address)
+	return w.config.Connect(ctx, instance.Address)
+}
+
+// conclude ends an investigation with the result of Connect.
+func (w *Watch) conclude(instance fleet.Description, i *Investigation, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(i.done)
+	i.err = err
 	switch {
 	case err == nil:
 		i.reason = Alive
@@ -192,12 +261,21 @@
 		i.reason = Unknown
 	default:
 		i.reason = Crashed
-		if w.config.OnCrash != nil {
-			w.config.OnCrash(instance, err)
+		if !i.leaving {
+			w.recordCrash(instance, i)
 		}
-		metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
-		w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
-			"requests", len(i.requests), "parts", parts(i.requests), "error", err)
+	}
+}
+
+// recordCrash records the crash that an investigation has found. The caller holds the lock.
+func (w *Watch) recordCrash(instance fleet.Description, i *Investigation) {
+	if w.config.OnCrash != nil {
+		w.config.OnCrash(instance, i.err)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_instance_crashes_total{service=%q}", instance.Service)).Inc()
+	w.config.Log.Warn("instance crashed", "instance", instance.ID, "service", instance.Service, "version", instance.Version,
+		"requests", len(i.requests), "parts", parts(i.requests), "error", i.err)
+	if len(i.requests) > 0 {
 		w.config.Guard.Crashed(crashguard.CrashID(instance.ID, instance.Incarnation), i.began, i.requests)
 	}
 }
