Clients take a stream as whole at its final event

A caller of rudderctl (and of the load tools) got an error for a complete stream whose connection broke after [DONE] and before the last chunk: the client resumed the stream, and reported the error of that, such as a stream that the daemon no longer knows.

Cause: the client looked at the end of the connection first and at the final event second.

TestStreamIsWholeAfterItsFinalEvent failed before without the last chunk ("1101 forbidden", the stand-in's answer to the resumption), and passes; its two other forms are guards. pkg/client ended at [DONE] already.

--- a/internal/apiclient/stream.go
+++ b/internal/apiclient/stream.go
@@ -186,13 +186,13 @@
 		end.RequestID = id
 	}
 	err := eventstream.Read(ctx, resp, maxEventBytes, func(e *sse.Event) error { return end.receive(e, f) })
-	if err != nil {
-		return err
-	}
-	if !end.Whole {
+	switch {
+	case end.Whole:
+		return nil // also if the connection broke after [DONE]
+	case err == nil:
 		return errors.New("the stream ended before [DONE]")
 	}
-	return nil
+	return err
 }
 
 // movedError returns the error for an event "moved", which names the addresses at
