Clients over hertz recognise a second copy of a reply within its body

An instance that stutters ends its reply early, or sends no length, and answers again on the same connection.

Cause: the end of a body was taken from its framing alone. hertz also reads on beyond the length of a body of more than 8 KiB, so that whole replies were lost if a copy or other bytes followed at once.

Fix: hertzconn looks for the head of this reply within its body: an equal head, or a status line and fields with the reply's X-Request-Id. For the last bytes of a body with a length it takes into account what has arrived after them. It keeps the last 4 KiB for that and holds nothing back. Reads end at the length. Bytes after a whole body are ignored as before, and texts that look like another reply pass.

--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -30,7 +30,8 @@
 // network.Conn says: "SetReadTimeout should work for every Read process". Its reads fail
 // with an error that wraps replyconn.ErrMalformed if the head of a reply is malformed. The
 // end of the connection is never the end of a body: reads of a body without a length or
-// chunks fail with ErrEndsWithConnection there.
+// chunks fail with ErrEndsWithConnection there. They fail with ErrRepeated at another copy
+// of the reply.
 func Wrap(c network.Conn) network.Conn { return &conn{Conn: c} }
 
 type conn struct {
@@ -42,8 +43,7 @@
 	started bool                   // a byte of the reply was read
 	head    []byte                 // checked and not read by hertz
 
-	// endsWithConnection means that the reply has neither a length nor chunks.
-	endsWithConnection bool
+	body *body // of the reply; nil before its head has ended
 	// failed is the error of the first read of the body that failed. hertz ignores it in
 	// some cases and reads again, and a reset is reported by the system once only.
 	failed error
@@ -79,7 +79,7 @@
 // Flush implements network.Writer. hertz calls it at the end of each request.
 func (c *conn) Flush() error {
 	c.scanner, c.started, c.head = replyconn.NewHeadScanner(replyconn.Limits{Bytes: maxHeadBytes}), false, nil
-	c.endsWithConnection, c.failed = false, nil
+	c.body, c.failed = nil, nil
 	return c.Conn.Flush()
 }
 
@@ -112,7 +112,7 @@
 		case ended && c.scanner.Interim():
 			c.head = c.head[:0] // hertz takes most interim replies for final ones
 		case ended:
-			c.endsWithConnection = endsWithConnection(c.head)
+			c.body = newBody(c.head)
 			unfold(c.head)
 			c.scanner = nil
 		}
@@ -149,6 +149,34 @@
 	return c.head[:n], nil
 }
 
+// Len implements network.Reader.
+func (c *conn) Len() int {
+	if len(c.head) > 0 {
+		return len(c.head)
+	}
+	return c.Conn.Len()
+}
+
+// Skip implements network.Reader.
+func (c *conn) Skip(n int) error {
+	if len(c.head) > 0 && n <= len(c.head) {
+		c.head = c.head[n:]
+		return nil
+	}
+	c.renew()
+	if c.body.checked() {
+		data, _ := c.Conn.Peek(n)
+		c.body.advance(data)
+	}
+	return c.Conn.Skip(n)
+}
+
+// buffered returns the bytes that have arrived and were not read.
+func (c *conn) buffered() []byte {
+	data, _ := c.Conn.Peek(c.Conn.Len())
+	return data
+}
+
 // peekBody returns the next bytes of the body.
 func (c *conn) peekBody(n int) ([]byte, error) {
 	if c.failed != nil {
@@ -156,37 +184,43 @@
 	}
 	c.renew()
 	data, err := c.Conn.Peek(n)
-	c.failed = c.bodyFailure(err)
+	if err != nil {
+		c.failed = c.body.failure(err)
+		return data, c.failed
+	}
+	if c.body.checked() {
+		c.failed = c.body.check(data, c.buffered()[n:])
+	}
 	return data, c.failed
 }
 
-// readBody reads the next bytes of the body.
+// readBody reads the next bytes of the body, but none beyond its length.
 func (c *conn) readBody(p []byte) (int, error) {
 	if c.failed != nil {
 		return 0, c.failed
 	}
 	c.renew()
-	n, err := c.Conn.Read(p)
-	c.failed = c.bodyFailure(err)
-	return n, c.failed
-}
-
-// Len implements network.Reader.
-func (c *conn) Len() int {
-	if len(c.head) > 0 {
-		return len(c.head)
+	if !c.body.checked() {
+		n, err := c.Conn.Read(p)
+		c.failed = err
+		return n, err
 	}
-	return c.Conn.Len()
-}
-
-// Skip implements network.Reader.
-func (c *conn) Skip(n int) error {
-	if len(c.head) > 0 && n <= len(c.head) {
-		c.head = c.head[n:]
-		return nil
+	if left := c.body.left; left >= 0 && int64(len(p)) >= left {
+		// The bytes after the body arrive in the buffer.
+		if _, err := c.Conn.Peek(1); err != nil {
+			c.failed = err
+			return 0, err
+		}
+		p = p[:min(left, int64(c.Conn.Len()))]
 	}
-	c.renew()
-	return c.Conn.Skip(n)
+	n, err := c.Conn.Read(p)
+	if repeated := c.body.check(p[:n], c.buffered()); repeated != nil {
+		c.failed = repeated
+		return 0, repeated
+	}
+	c.body.advance(p[:n])
+	c.failed = c.body.failure(err)
+	return n, c.failed
 }
 
 // Read implements net.Conn.
