Clients over hertz stream bodies without a length

Cause: hertz reads a body without a length as a whole before it returns the head (its limit of 8 KiB is compared with a length of -2).

Fix: hertzconn lets Peek fail within such a body, at which hertz ends this and reads the body with Read.

--- a/internal/hertzconn/body.go
+++ b/internal/hertzconn/body.go
@@ -32,6 +32,9 @@
 	ErrRepeated = errors.New("the reply is repeated within its body")
 )
 
+// errStreamed is the error of Peek within a body that is read with Read only.
+var errStreamed = errors.New("the body is streamed")
+
 // body checks the body of a reply as it is read.
 type body struct {
 	head []byte // of the reply
--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -44,6 +44,9 @@
 	head    []byte                 // checked and not read by hertz
 
 	body *body // of the reply; nil before its head has ended
+	// writeFailed means that the request was not written as a whole. hertz reads the reply
+	// without streaming then.
+	writeFailed bool
 	// failed is the error of the first read of the body that failed. hertz ignores it in
 	// some cases and reads again, and a reset is reported by the system once only.
 	failed error
@@ -80,7 +83,9 @@
 func (c *conn) Flush() error {
 	c.scanner, c.started, c.head = replyconn.NewHeadScanner(replyconn.Limits{Bytes: maxHeadBytes}), false, nil
 	c.body, c.failed = nil, nil
-	return c.Conn.Flush()
+	err := c.Conn.Flush()
+	c.writeFailed = err != nil
+	return err
 }
 
 // readHead reads and checks the heads of the replies to a request, if they are expected. It
@@ -151,12 +156,19 @@
 
 // Len implements network.Reader.
 func (c *conn) Len() int {
-	if len(c.head) > 0 {
+	switch {
+	case len(c.head) > 0:
 		return len(c.head)
+	case c.streamed():
+		return 0
 	}
 	return c.Conn.Len()
 }
 
+// streamed reports whether the body is read with Read only. hertz would read a body without
+// a length as a whole before it returns the head, and ends that if Peek fails.
+func (c *conn) streamed() bool { return c.body != nil && c.body.endsWithConnection && !c.writeFailed }
+
 // Skip implements network.Reader.
 func (c *conn) Skip(n int) error {
 	if len(c.head) > 0 && n <= len(c.head) {
@@ -179,8 +191,11 @@
 
 // peekBody returns the next bytes of the body.
 func (c *conn) peekBody(n int) ([]byte, error) {
-	if c.failed != nil {
+	switch {
+	case c.failed != nil:
 		return nil, c.failed
+	case c.streamed():
+		return nil, errStreamed
 	}
 	c.renew()
 	data, err := c.Conn.Peek(n)
