--- a/internal/upstreamhttp/endofreply_test.go
+++ b/internal/upstreamhttp/endofreply_test.go
@@ -59,3 +59,26 @@
 		}
 	}
 }
+
+// Guards against refusing replies that have no body because they state no length.
+func TestReplyWithoutBodyIsWhole(t *testing.T) {
+	client, err := upstreamhttp.New(time.Second)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, c := range []struct{ method, head string }{
+		{http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n"},
+		{http.MethodGet, "HTTP/1.1 304 Not Modified\r\n\r\n"},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		g := NewWithT(t)
+		server, err := rawreply.Start(rawreply.Whole(func(*http.Request) string { return c.head }))
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(server.Close)
+		reply, err := client.Exchange(t.Context(), upstreamhttp.Exchange{
+			Method: c.method, Address: server.Address(), Path: "/", Timeout: time.Second,
+		})
+		g.Expect(err).NotTo(HaveOccurred(), "%s: %q", c.method, c.head)
+		g.Expect(reply.Body).To(BeEmpty())
+	}
+}
