--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -28,7 +28,10 @@
 
 // Wrap returns a client's connection whose read timeout works as the documentation of
 // network.Conn says: "SetReadTimeout should work for every Read process". Its reads fail
-// with an error that wraps replyconn.ErrMalformed if the head of a reply is malformed.
+// with an error that wraps replyconn.ErrMalformed if the head of a reply is malformed. The
+// end of the connection is never the end of a body: reads of a body without a length or
+// chunks fail with ErrEndsWithConnection there. They fail with ErrRepeated at another copy
+// of the reply.
 func Wrap(c network.Conn) network.Conn { return &conn{Conn: c} }
 
 type conn struct {
@@ -39,6 +42,14 @@
 	scanner *replyconn.HeadScanner // nil if no head is expected
 	started bool                   // a byte of the reply was read
 	head    []byte                 // checked and not read by hertz
+
+	body *body // of the reply; nil before its head has ended
+	// writeFailed means that the request was not written as a whole. hertz reads the reply
+	// without streaming then.
+	writeFailed bool
+	// failed is the error of the first read of the body that failed. hertz ignores it in
+	// some cases and reads again, and a reset is reported by the system once only.
+	failed error
 }
 
 // normaliser is network.ErrorNormalization, which hertz looks for on its
@@ -71,7 +82,10 @@
 // Flush implements network.Writer. hertz calls it at the end of each request.
 func (c *conn) Flush() error {
 	c.scanner, c.started, c.head = replyconn.NewHeadScanner(replyconn.Limits{Bytes: maxHeadBytes}), false, nil
-	return c.Conn.Flush()
+	c.body, c.failed = nil, nil
+	err := c.Conn.Flush()
+	c.writeFailed = err != nil
+	return err
 }
 
 // readHead reads and checks the heads of the replies to a request, if they are expected. It
@@ -103,6 +117,7 @@
 		case ended && c.scanner.Interim():
 			c.head = c.head[:0] // hertz takes most interim replies for final ones
 		case ended:
+			c.body = newBody(c.head)
 			unfold(c.head)
 			c.scanner = nil
 		}
@@ -132,8 +147,7 @@
 	}
 	switch {
 	case len(c.head) == 0:
-		c.renew()
-		return c.Conn.Peek(n)
+		return c.peekBody(n)
 	case n > len(c.head):
 		return c.head, io.ErrShortBuffer
 	}
@@ -142,12 +156,19 @@
 
 // Len implements network.Reader.
 func (c *conn) Len() int {
-	if len(c.head) > 0 {
+	switch {
+	case len(c.head) > 0:
 		return len(c.head)
+	case c.streamed():
+		return 0
 	}
 	return c.Conn.Len()
 }
 
+// streamed reports whether the body is read with Read only. hertz would read a body without
+// a length as a whole before it returns the head, and ends that if Peek fails.
+func (c *conn) streamed() bool { return c.body != nil && c.body.endsWithConnection && !c.writeFailed }
+
 // Skip implements network.Reader.
 func (c *conn) Skip(n int) error {
 	if len(c.head) > 0 && n <= len(c.head) {
@@ -155,9 +176,68 @@
 		return nil
 	}
 	c.renew()
+	if c.body.checked() {
+		data, _ := c.Conn.Peek(n)
+		c.body.advance(data)
+	}
 	return c.Conn.Skip(n)
 }
 
+// buffered returns the bytes that have arrived and were not read.
+func (c *conn) buffered() []byte {
+	data, _ := c.Conn.Peek(c.Conn.Len())
+	return data
+}
+
+// peekBody returns the next bytes of the body.
+func (c *conn) peekBody(n int) ([]byte, error) {
+	switch {
+	case c.failed != nil:
+		return nil, c.failed
+	case c.streamed():
+		return nil, errStreamed
+	}
+	c.renew()
+	data, err := c.Conn.Peek(n)
+	if err != nil {
+		c.failed = c.body.failure(err)
+		return data, c.failed
+	}
+	if c.body.checked() {
+		c.failed = c.body.check(data, c.buffered()[n:])
+	}
+	return data, c.failed
+}
+
+// readBody reads the next bytes of the body, but none beyond its length.
+func (c *conn) readBody(p []byte) (int, error) {
+	if c.failed != nil {
+		return 0, c.failed
+	}
+	c.renew()
+	if !c.body.checked() {
+		n, err := c.Conn.Read(p)
+		c.failed = err
+		return n, err
+	}
+	if left := c.body.left; left >= 0 && int64(len(p)) >= left {
+		// The bytes after the body arrive in the buffer.
+		if _, err := c.Conn.Peek(1); err != nil {
+			c.failed = err
+			return 0, err
+		}
+		p = p[:min(left, int64(c.Conn.Len()))]
+	}
+	n, err := c.Conn.Read(p)
+	if repeated := c.body.check(p[:n], c.buffered()); repeated != nil {
+		c.failed = repeated
+		return 0, repeated
+	}
+	c.body.advance(p[:n])
+	c.failed = c.body.failure(err)
+	return n, c.failed
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if err := c.readHead(); err != nil {
@@ -168,8 +248,7 @@
 		c.head = c.head[n:]
 		return n, nil
 	}
-	c.renew()
-	return c.Conn.Read(p)
+	return c.readBody(p)
 }
 
 // ReadByte implements network.Reader.
