Tell a reset of the instance from its end during an upload through a tunnel

Callers saw: a part of a reply without a length as a complete one, if the request went through another daemon and the instance reset the connection while the upload was still being written. Cause: the system reports a reset to one call only. In the daemon that serves the tunnel this was mostly the write to the instance; its read then returned the end, which was passed on as an orderly one. Change: the serving daemon reads instances with replyconn.Conn, as direct connections do. It discards what the client still sends once the instance takes nothing more, so that closing the connection doesn't reset it under a whole early reply.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/exchange"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
 const (
@@ -145,8 +146,9 @@
 
 // splice copies bytes in both directions until the tunnel ends. The end of the client's
 // connection ends that of the instance at once. The end of the instance's bytes, or the
-// reset of its connection, is passed on as such, since it may delimit a reply.
-func splice(client *net.TCPConn, instance net.Conn) {
+// failure of its connection, is passed on as such, since it may delimit a reply.
+func splice(client *net.TCPConn, connection net.Conn) {
+	instance := replyconn.New(connection, replyconn.Limits{})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -160,6 +162,9 @@
 		_ = client.SetReadDeadline(time.Now().Add(closeTimeout))
 	}()
 	_ = copyBytesOf(instance, client)
+	// Closing a connection with unread bytes resets it, and what is on its way to the client
+	// would be lost. This returns at once if the client's connection has ended.
+	_, _ = io.Copy(io.Discard, client)
 	_ = instance.Close()
 	<-done
 }
