Say in tunnels when the instance has ended its connection in order

Callers saw: a part of a reply without a length as a complete one, if the daemon that served the tunnel was killed, or exited, while it passed through. Cause: the system ends the connections of a process that is gone in order, and the client took the end of the server's connection for that of the instance's. Change: the server sends the instance's bytes in the chunked coding, each part at once, and the last chunk only after an orderly end; the client takes any other end for a failure. The client asks for this with a header, which the release before ignores, and the server confirms it. Without the confirmation the end of the bytes is an error, so that only replies with a length or chunks are whole. For a client that doesn't ask, the server has the system reset the connection if the server ends first.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -110,6 +110,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if d, indirect := c.Conn.Conn.(detour); indirect && d.Readable() {
+		return false
+	}
 	syscallConn, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,8 +26,17 @@
 	Confirm(ctx context.Context, address string, began time.Time) bool
 }
 
-// detour is a connection to an instance through another daemon.
-type detour struct{ *net.TCPConn }
+// DetourConn is a connection to an instance through another daemon. Its Read returns io.EOF
+// only if the instance has ended its connection in order.
+type DetourConn interface {
+	net.Conn
+	syscall.Conn
+	// Readable reports whether bytes or an end have been received from the system and not
+	// been returned by Read.
+	Readable() bool
+}
+
+type detour struct{ DetourConn }
 
 // connect connects to an instance: directly, or through another daemon if this one has lost
 // its links. No byte of a request has been sent when it fails, so that the way can change.
--- a/internal/exchange/links_test.go
+++ b/internal/exchange/links_test.go
@@ -21,6 +21,11 @@
 func (l *settableLinks) Connected(time.Time)                             {}
 func (l *settableLinks) Confirm(context.Context, string, time.Time) bool { return l.lost.Load() }
 
+// detourConn is a connection that holds nothing back.
+type detourConn struct{ *net.TCPConn }
+
+func (detourConn) Readable() bool { return false }
+
 // Guards against giving up an attempt to connect directly that was in progress when the loss
 // of the links was found out.
 func TestAttemptInProgressTakesTheDetour(t *testing.T) {
@@ -49,12 +54,13 @@
 					links.lost.Store(true)
 					return nil, exchange.ErrNotSent
 				},
-				Detour: func(ctx context.Context, address string) (*net.TCPConn, error) {
+				Detour: func(ctx context.Context, address string) (exchange.DetourConn, error) {
 					detours.Add(1)
 					if c.detour != nil {
 						return nil, c.detour
 					}
-					return exchange.Dial(ctx, address, exchange.Config{DialTimeout: time.Second, AckTimeout: time.Second})
+					conn, err := exchange.Dial(ctx, address, exchange.Config{DialTimeout: time.Second, AckTimeout: time.Second})
+					return detourConn{conn}, err
 				},
 			})
 			err = pool.Reachable(t.Context(), listener.Addr().String())
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -25,7 +25,7 @@
 	Links Links
 	// Detour connects to an instance through another daemon; nil means that none does so.
 	// Its errors wrap ErrNotSent, and ErrLinksLost if no daemon gave a connection.
-	Detour func(ctx context.Context, address string) (*net.TCPConn, error)
+	Detour func(ctx context.Context, address string) (DetourConn, error)
 }
 
 // idleMargin is how long before the idle timeout announced by the upstream a
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -59,10 +59,11 @@
 	errUnknown     = errors.New("daemon doesn't know the instance")
 )
 
-// Dial connects to an instance through another daemon. Its errors wrap exchange.ErrNotSent;
+// Dial connects to an instance through another daemon. Read of the connection returns io.EOF
+// only if the instance has ended its connection in order. The errors of Dial wrap exchange.ErrNotSent;
 // exchange.ErrRefused if the machine of the instance refused the connection, and
 // exchange.ErrLinksLost if no daemon gave a tunnel.
-func (c *Client) Dial(ctx context.Context, address string) (*net.TCPConn, error) {
+func (c *Client) Dial(ctx context.Context, address string) (exchange.DetourConn, error) {
 	candidates := c.candidates()
 	last := errors.New("no daemon to ask")
 	for range min(maxPeers, len(candidates)) {
@@ -138,13 +139,14 @@
 }
 
 // dialThrough opens a tunnel through one daemon.
-func (c *Client) dialThrough(ctx context.Context, peer, address string) (*net.TCPConn, error) {
+func (c *Client) dialThrough(ctx context.Context, peer, address string) (*clientConn, error) {
 	conn, err := c.config.Dial(ctx, peer)
 	if err != nil {
 		return nil, errors.Wrapf(errUnavailable, "%v", err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	status, err := request(conn, address)
+	buffer := bufio.NewReaderSize(conn, copyBytes+chunkOverhead)
+	status, framed, err := request(conn, buffer, address)
 	if !stop() {
 		err = errors.Wrapf(exchange.ErrNotSent, "tunnel: %v", ctx.Err())
 		return nil, err
@@ -153,7 +155,7 @@
 	case err != nil:
 		err = errors.Wrapf(errUnavailable, "%v", err)
 	case status == http.StatusOK:
-		return conn, nil
+		return newClientConn(conn, buffer, framed), nil
 	case status == http.StatusBadGateway:
 		err = errors.Wrapf(exchange.ErrRefused, "tunnel through %s", peer)
 	case status == http.StatusServiceUnavailable:
@@ -167,19 +169,21 @@
 	return nil, err
 }
 
-// request asks for a tunnel. The instance sends nothing before it gets a request, so that
-// nothing follows the head of the response.
-func request(conn net.Conn, address string) (int, error) {
+// request asks for a tunnel. It reads the head of the response from buffer, which reads from
+// conn, and reports whether the bytes of the instance are framed.
+func request(conn net.Conn, buffer *bufio.Reader, address string) (status int, framed bool, err error) {
 	if err := conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return 0, errors.Wrap(err, "set deadline")
+		return 0, false, errors.Wrap(err, "set deadline")
 	}
-	head := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"
+	head := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n" +
+		framingHeader + ": " + framingChunked + "\r\n\r\n"
 	if _, err := conn.Write([]byte(head)); err != nil {
-		return 0, errors.Wrap(err, "write")
+		return 0, false, errors.Wrap(err, "write")
 	}
-	response, err := http.ReadResponse(bufio.NewReaderSize(conn, headBytes), &http.Request{Method: http.MethodConnect})
+	response, err := http.ReadResponse(buffer, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return 0, errors.Wrap(err, "read")
+		return 0, false, errors.Wrap(err, "read")
 	}
-	return response.StatusCode, errors.Wrap(conn.SetDeadline(time.Time{}), "set deadline")
+	framed = response.Header.Get(framingHeader) == framingChunked
+	return response.StatusCode, framed, errors.Wrap(conn.SetDeadline(time.Time{}), "set deadline")
 }
--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -16,10 +16,12 @@
 )
 
 // newPool returns a pool that reaches instances through other daemons only.
-func newPool(peers ...string) *exchange.Pool {
+func newPool(peers ...string) *exchange.Pool { return newDetouredPool(newClient(peers...).Dial) }
+
+func newDetouredPool(detour func(context.Context, string) (exchange.DetourConn, error)) *exchange.Pool {
 	return exchange.NewPool(exchange.Config{
 		DialTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Minute,
-		Links: fixedLinks{lost: true}, Detour: newClient(peers...).Dial,
+		Links: fixedLinks{lost: true}, Detour: detour,
 	})
 }
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -89,14 +89,14 @@
 	defer s.active.Add(-1)
 	_ = client.SetKeepAliveConfig(keepAlive) // both fail only on a closed connection
 	_ = client.SetDeadline(time.Now().Add(headTimeout))
-	address, err := readConnect(client)
+	address, framed, err := readConnect(client)
 	if err != nil {
 		return
 	}
 	instance, status := s.connect(address, active)
 	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_tunnels_served_total{status=\"%d\"}", status)).Inc()
 	_ = client.SetDeadline(time.Now().Add(headTimeout))
-	_, err = fmt.Fprintf(client, "HTTP/1.1 %d %s\r\n\r\n", status, http.StatusText(status))
+	err = respond(client, status, framed)
 	if instance == nil {
 		return
 	}
@@ -105,19 +105,31 @@
 		return
 	}
 	_ = client.SetDeadline(time.Time{})
-	splice(client, instance)
+	end := splice(client, instance, framed)
+	metrics.GetOrCreateCounter(`rudder_tunnels_served_ends_total{end="` + end + `"}`).Inc()
 }
 
-// readConnect reads the request and returns the address of the instance.
-func readConnect(client net.Conn) (string, error) {
+// readConnect reads the request. It returns the address of the instance, and whether the
+// client asks for framing.
+func readConnect(client net.Conn) (address string, framed bool, err error) {
 	request, err := http.ReadRequest(bufio.NewReaderSize(client, headBytes))
 	if err != nil {
-		return "", errors.Wrap(err, "read request for a tunnel")
+		return "", false, errors.Wrap(err, "read request for a tunnel")
 	}
 	if request.Method != http.MethodConnect {
-		return "", errors.Errorf("method %.20q, want CONNECT", request.Method)
+		return "", false, errors.Errorf("method %.20q, want CONNECT", request.Method)
 	}
-	return request.RequestURI, nil
+	return request.RequestURI, request.Header.Get(framingHeader) == framingChunked, nil
+}
+
+// respond writes the head of the response.
+func respond(client net.Conn, status int, framed bool) error {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if framed && status == http.StatusOK {
+		head += framingHeader + ": " + framingChunked + "\r\n"
+	}
+	_, err := io.WriteString(client, head+"\r\n")
+	return errors.Wrap(err, "write response")
 }
 
 // connect connects to an instance. Without a connection, the status tells why.
@@ -147,36 +159,81 @@
 // splice copies bytes in both directions until the tunnel ends. The end of the client's
 // connection ends that of the instance at once. The end of the instance's bytes, or the
 // failure of its connection, is passed on as such, since it may delimit a reply.
-func splice(client *net.TCPConn, connection net.Conn) {
+// It returns what ended the tunnel: instance (in order), client or broken.
+func splice(client *net.TCPConn, connection net.Conn, framed bool) string {
 	instance := replyconn.New(connection, replyconn.Limits{})
-	done := make(chan struct{})
+	done := make(chan error, 1)
 	go func() {
-		defer close(done)
-		err := copyBytesOf(client, instance)
+		err := copyToClient(client, instance, framed)
 		if err != nil {
 			_ = client.SetLinger(0)
 			_ = client.Close()
-			return
 		}
-		_ = client.CloseWrite()
-		_ = client.SetReadDeadline(time.Now().Add(closeTimeout))
+		done <- err
 	}()
 	_ = copyBytesOf(instance, client)
 	// Closing a connection with unread bytes resets it, and what is on its way to the client
 	// would be lost. This returns at once if the client's connection has ended.
 	_, _ = io.Copy(io.Discard, client)
 	_ = instance.Close()
-	<-done
+	switch err := <-done; {
+	case err == nil:
+		return "instance"
+	case errors.Is(err, errTarget) || errors.Is(err, net.ErrClosed):
+		return "client"
+	}
+	return "broken"
+}
+
+// copyToClient copies the bytes of the instance to the client, and then their orderly end.
+func copyToClient(client *net.TCPConn, instance net.Conn, framed bool) error {
+	copyAll := copyWithReset
+	if framed {
+		copyAll = copyInChunks
+	}
+	if err := copyAll(client, instance); err != nil {
+		return err
+	}
+	_ = client.CloseWrite() // fails only on a closed connection
+	_ = client.SetReadDeadline(time.Now().Add(closeTimeout))
+	return nil
 }
 
-// copyBytesOf copies from source until it ends. The error is that of the source or target.
-func copyBytesOf(target, source net.Conn) error {
+// copyInChunks copies with framing.
+func copyInChunks(client *net.TCPConn, instance net.Conn) error {
+	chunks := newChunkWriter(client)
+	if err := copyBytesOf(chunks, instance); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return errors.Wrapf(errTarget, "%v", err)
+	}
+	return nil
+}
+
+// copyWithReset copies without framing. The system resets the connection of the client if
+// this process ends earlier than the instance's bytes.
+func copyWithReset(client *net.TCPConn, instance net.Conn) error {
+	_ = client.SetLinger(0) // fails only on a closed connection
+	if err := copyBytesOf(client, instance); err != nil {
+		return err
+	}
+	_ = client.SetLinger(-1)
+	return nil
+}
+
+// errTarget means that the target of a copy has failed.
+var errTarget = errors.New("write failed")
+
+// copyBytesOf copies from source until it ends. The error wraps errTarget, or is that of the
+// source.
+func copyBytesOf(target io.Writer, source io.Reader) error {
 	buffer := make([]byte, copyBytes)
 	for {
 		n, readErr := source.Read(buffer)
 		if n > 0 {
 			if _, err := target.Write(buffer[:n]); err != nil {
-				return errors.Wrap(err, "write")
+				return errors.Wrapf(errTarget, "%v", err)
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -36,13 +36,17 @@
 	return listener
 }
 
-// startServer starts a daemon that serves tunnels, and returns it and its address.
-func startServer(t *testing.T, change ...func(*ServerConfig)) (*Server, string) {
-	t.Helper()
-	config := ServerConfig{
+func serverConfig() ServerConfig {
+	return ServerConfig{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return dialTCP(ctx, address) },
 		Links: fixedLinks{}, Known: func(string) bool { return true }, Accepts: func() bool { return true }, Limit: 10,
 	}
+}
+
+// startServer starts a daemon that serves tunnels, and returns it and its address.
+func startServer(t *testing.T, change ...func(*ServerConfig)) (*Server, string) {
+	t.Helper()
+	config := serverConfig()
 	for _, f := range change {
 		f(&config)
 	}
