--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -114,6 +114,9 @@
 // poll looks for bytes that the system has received, without waiting. It returns nil if there
 // are some or if the peer has ended the connection, and unix.EAGAIN if there is nothing.
 func (c *conn) poll() error {
+	if d, indirect := c.Conn.Conn.(detour); indirect && d.Readable() {
+		return nil
+	}
 	syscallConn, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return errors.New("the connection has no file descriptor")
