Reset an HTTP/1.0 client's connection when its body is incomplete

Callers saw: over HTTP/1.0 a stream, or a body over 1 MiB without a length, that the daemon breaks off ends like a whole one. Cause: without chunks the end of the connection is that of the body. net/http closes the connection of an aborted handler in order, Close of the server does so too at the end of the grace period, and the system does when the process is killed. Fix: such a connection has SO_LINGER 0 from before its head until the system has the whole body, so that every other close of it is a reset. Bodies with a length or chunks, which show a missing end themselves, are handled as before.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -14,6 +14,7 @@
 	coordinatorv1 "github.com/dogwoodrudder/dogwoodrudder/api/coordinator/v1"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/duty"
 	"github.com/dogwoodrudder/dogwoodrudder/internal/peer"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/relay"
 )
 
 const (
@@ -51,10 +52,7 @@
 
 // listen opens all listeners and serves on them.
 func (d *Daemon) listen() (*servers, error) {
-	s := &servers{callers: &http.Server{
-		Handler: d.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
-	}}
+	s := &servers{callers: d.callersServer()}
 	if err := d.serveHTTP(d.settings.CallersAddress, s.callers); err != nil {
 		return nil, err
 	}
@@ -94,6 +92,13 @@
 	return s, nil
 }
 
+func (d *Daemon) callersServer() *http.Server {
+	return &http.Server{
+		Handler: d.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: relay.ConnContext,
+	}
+}
+
 func auxiliaryServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,7 +45,7 @@
 	d.instances.Put(fleet.Description{ID: w.ID, Service: "s", Address: w.Address(), DataCentre: "a", Slots: 50})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	s := &servers{callers: &http.Server{Handler: d.relay, ReadHeaderTimeout: time.Minute}, coordinator: grpc.NewServer()}
+	s := &servers{callers: d.callersServer(), coordinator: grpc.NewServer()}
 	go func() { _ = s.callers.Serve(listener) }() // returns after Close
 	t.Cleanup(func() { _ = s.callers.Close() })
 	return &stopping{daemon: d, servers: s, url: "http://" + listener.Addr().String(), worker: w}
@@ -117,3 +120,31 @@
 		})
 	}
 }
+
+// A stream is cut at the end of the grace period. Guards against a part that ends like a
+// whole stream: for a caller that can't take chunks, its end is that of the connection.
+func TestStopResetsAStreamWithoutChunks(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			g := NewWithT(t)
+			const grace = time.Second
+			s := newStopping(t, grace, traffic.Streaming, worker.Behaviour{EventGap: 50 * time.Millisecond})
+			s.worker.Events = 100
+			c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(func() { _ = c.Close() })
+			g.Expect(c.SetDeadline(time.Now().Add(10 * grace))).To(Succeed())
+			_, err = fmt.Fprintf(c, "GET /r/1 HTTP/%s\r\nHost: h.example\r\nX-Request-Id: 1\r\n\r\n", version)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.Read(make([]byte, 1))
+			g.Expect(err).NotTo(HaveOccurred())
+			s.daemon.stop(t.Context(), s.servers)
+			stream, err := io.ReadAll(c)
+			g.Expect(string(stream)).To(ContainSubstring("id: 5"))
+			if version == "1.0" {
+				g.Expect(err).To(MatchError(syscall.ECONNRESET))
+			}
+			g.Expect(string(stream)).NotTo(ContainSubstring("\r\n0\r\n"))
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -190,6 +190,7 @@
 	metered      bool          // counted by the Meter
 	headWritten  bool          // the head of the response was written
 	responding   atomic.Bool   // the same, for other goroutines
+	framing      framing       // of the body, once the head was written
 	bodyStarted  bool          // a part of a body that is not a stream was forwarded
 	attemptTimer *attemptTimer // of the current attempt
 	retryTaken   atomic.Bool   // the next attempt was already taken from the retry budget
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -35,6 +35,7 @@
 type fixture struct {
 	t             *testing.T
 	url           string
+	server        *httptest.Server
 	relay         *relay.Relay
 	set           *fleet.Set
 	table         atomic.Pointer[traffic.Table]
@@ -48,6 +49,8 @@
 	failures atomic.Int64
 	// shuttingDown refuses requests that may last longer than a second.
 	shuttingDown atomic.Bool
+	// draining tells that the daemon is about to stop.
+	draining atomic.Bool
 	// evacuated tells that all instances are being evacuated.
 	evacuated atomic.Bool
 	mu        sync.Mutex
@@ -135,11 +138,13 @@
 		// As on a machine with 160 MB.
 		RequestMemory: relay.NewMemoryBudget(20 << 20), ReplyMemory: relay.NewMemoryBudget(10 << 20),
 		OnRequest: func() {},
-		Draining:  func() bool { return false }, RefuseDuringShutdown: func(deadline time.Time) bool { return s.shuttingDown.Load() && time.Until(deadline) > time.Second },
+		Draining:  s.draining.Load, RefuseDuringShutdown: func(deadline time.Time) bool { return s.shuttingDown.Load() && time.Until(deadline) > time.Second },
 	})
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	s.url, s.relay = server.URL, handler
+	s.server = httptest.NewUnstartedServer(handler)
+	s.server.Config.ConnContext = relay.ConnContext
+	s.server.Start()
+	t.Cleanup(s.server.Close)
+	s.url, s.relay = s.server.URL, handler
 	return s
 }
 
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -146,6 +146,9 @@
 	}
 	q.headWritten = true
 	q.responding.Store(true)
+	if q.framing = q.framingOf(length); q.framing == framedByClose {
+		q.resetUntilWhole()
+	}
 	h := q.writer.Header()
 	for name, values := range q.relay.options.Headers.ForClient(reply.Header) {
 		h[name] = values
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -86,6 +86,9 @@
 		q.logAttempt(reservation, outcome, reason)
 		switch outcome {
 		case answered:
+			if q.endBody() != nil {
+				q.clientLeft()
+			}
 			q.finish(http.StatusOK, result.OK)
 			return
 		case left:
