Count and log responses that clients received a part of only

Cause: the log and the metrics have the status of a request, but not whether a part of a response had reached the client by then, nor by what it could tell. Change: rudder_relay_responses_broken_off_total{status,code,framing} and the line "response broken off".

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -50,6 +50,12 @@
 		"ran", q.ran, "duration_ms", duration.Milliseconds(), "first_event_ms", q.firstEvent.Milliseconds(), "predicted_ms", q.predicted.Milliseconds(), "outcome", q.outcome)
 }
 
+// recordBreakOff logs and counts a response of which the client received a part only.
+func (q *request) recordBreakOff(status int, code result.Code) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("rudder_relay_responses_broken_off_total{status=\"%d\",code=\"%d\",framing=%q}", status, code, q.framing)).Inc()
+	q.relay.options.Log.Info("response broken off", "request", q.info.ID, "status", status, "code", int(code), "framing", q.framing)
+}
+
 // logAttempt logs and counts an attempt that did not succeed.
 func (q *request) logAttempt(reservation *fleet.Reservation, outcome attemptOutcome, reason string) {
 	if outcome == answered {
--- a/internal/relay/problem.go
+++ b/internal/relay/problem.go
@@ -53,7 +53,7 @@
 	q.returnQuota()
 	q.finish(p.status, p.code)
 	if p.clientGone || q.headWritten {
-		panic(http.ErrAbortHandler)
+		q.breakOff(p.status, p.code)
 	}
 	h := q.writer.Header()
 	if p.status == http.StatusServiceUnavailable || p.status == http.StatusTooManyRequests {
@@ -68,6 +68,14 @@
 	}
 }
 
+// breakOff ends the client's connection without the end of the response. It doesn't return.
+func (q *request) breakOff(status int, code result.Code) {
+	if q.headWritten {
+		q.recordBreakOff(status, code)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // returnQuota gives back the cost of a request that has not run.
 func (q *request) returnQuota() {
 	if q.cost > 0 && !q.ran {
--- a/internal/relay/responseend_test.go
+++ b/internal/relay/responseend_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
@@ -195,3 +196,19 @@
 		})
 	}
 }
+
+// Guards against responses that are broken off and that no metric tells apart from those
+// that came to the client whole.
+func TestBrokenOffResponsesAreCounted(t *testing.T) {
+	for version, framing := range map[string]string{"1.0": "connection", "1.1": "chunks"} {
+		t.Run(version, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFixture(t)
+			s.startPartial(chunk(events(0, 2)), false)
+			counter := metrics.GetOrCreateCounter(`rudder_relay_responses_broken_off_total{status="502",code="1304",framing="` + framing + `"}`)
+			before := counter.Get()
+			_, _ = io.ReadAll(dialRaw(t, s.url, version, "/report/1", "")) // its end is tested elsewhere
+			g.Expect(counter.Get() - before).To(BeEquivalentTo(1))
+		})
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -121,7 +121,7 @@
 	q.outcome = "the client closed the connection"
 	q.returnQuota()
 	q.finish(statusClientGone, result.OK)
-	panic(http.ErrAbortHandler)
+	q.breakOff(statusClientGone, result.OK)
 }
 
 // attemptAndRelease makes an attempt and releases its slot, also if the attempt panics.
