End a caller's stream with the last chunk only after its end was told

Callers saw: from `rudderd run`, if they close only their own direction of the connection in the middle of a stream, a part with the last chunk, or an empty 200 before the first event (with hertz's standard transport; netpoll, which Linux uses, closes the connection). Over HTTP/1.0, with both transports, the sizes of chunks within the stream. Cause: the handler returned on a break-off as on the end, and hertz writes the last chunk of any hijacked response, or a response of its own if none was begun. hertz's writer of chunks doesn't look at the version of the request. Fix: the writer of streams refuses to end a body whose end, move or failure wasn't written, whereupon hertz closes the connection.

--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -80,7 +80,7 @@
 	detach := s.options.Proxy.Attach(f)
 	defer detach()
 	if f.Streams() {
-		return s.streamEvents(ctx, c, f, lastID)
+		return s.streamEvents(ctx, c, f.ID, f, lastID)
 	}
 	return s.writeCompletion(ctx, c, f)
 }
@@ -99,7 +99,7 @@
 	detach := s.options.Proxy.Attach(f)
 	defer detach()
 	if f.Streams() {
-		return s.streamEvents(ctx, c, f, lastID)
+		return s.streamEvents(ctx, c, f.ID, f, lastID)
 	}
 	return s.writeCompletion(ctx, c, f)
 }
@@ -117,17 +117,26 @@
 	return e
 }
 
+// eventStream is the stream of a model request.
+type eventStream interface {
+	// Next waits for events after lastID or the end of the stream.
+	Next(ctx context.Context, lastID int64) (proxy.Progress, error)
+	// Delivered records that the caller received the whole stream.
+	Delivered()
+}
+
 // streamEvents writes the server-sent events after the given ID until the stream
 // ends. A failure before the first event is returned, to be written as a problem
 // document; a later one is written as an event of type "error".
-func (s *Server) streamEvents(ctx context.Context, c *app.RequestContext, f *proxy.Inflight, lastID int64) error {
+func (s *Server) streamEvents(ctx context.Context, c *app.RequestContext, id string, f eventStream, lastID int64) error {
 	progress, err := f.Next(ctx, lastID)
+	if err == nil && progress.Failure != nil && len(progress.Events) == 0 && lastID == 0 {
+		return progress.Failure
+	}
+	body := newStreamWriter(c)
 	if err != nil {
 		return nil // the caller has disconnected
 	}
-	if progress.Failure != nil && len(progress.Events) == 0 && lastID == 0 {
-		return progress.Failure
-	}
 	w := sse.NewWriter(c)
 	for {
 		for _, e := range progress.Events {
@@ -136,7 +145,12 @@
 			}
 			lastID = e.ID
 		}
-		if ended := s.endStream(w, f, progress); ended {
+		ended, err := s.endStream(w, id, f, progress)
+		if err != nil {
+			return nil
+		}
+		if ended {
+			body.ended = true
 			return nil
 		}
 		if progress, err = f.Next(ctx, lastID); err != nil {
@@ -145,24 +159,21 @@
 	}
 }
 
-// endStream closes the stream if the request has moved, failed or completed, and
-// reports whether it has. Before that, it writes an event that tells of the move or
-// the failure.
-func (s *Server) endStream(w *sse.Writer, f *proxy.Inflight, progress proxy.Progress) bool {
+// endStream reports whether the request has moved, failed or completed. It writes an
+// event that tells of a move or a failure. It fails if the caller has disconnected.
+func (s *Server) endStream(w *sse.Writer, id string, f eventStream, progress proxy.Progress) (ended bool, err error) {
 	switch {
 	case progress.Moved != nil:
-		data, _ := json.Marshal(map[string]any{"requestId": f.ID, "addresses": progress.Moved})
-		_ = w.WriteEvent("", "moved", data)
+		data, _ := json.Marshal(map[string]any{"requestId": id, "addresses": progress.Moved})
+		return true, w.WriteEvent("", "moved", data)
 	case progress.Failure != nil:
-		data, _ := json.Marshal(problemOf(progress.Failure, f.ID))
-		_ = w.WriteEvent("", "error", data)
+		data, _ := json.Marshal(problemOf(progress.Failure, id))
+		return true, w.WriteEvent("", "error", data)
 	case !progress.Done:
-		return false
-	default:
-		f.Delivered()
+		return false, nil
 	}
-	_ = w.Close()
-	return true
+	f.Delivered()
+	return true, nil
 }
 
 // writeCompletion waits for the end of the request and writes its response body.
