--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -150,7 +150,7 @@
 			return nil
 		}
 		if ended {
-			body.ended = true
+			body.end()
 			return nil
 		}
 		if progress, err = f.Next(ctx, lastID); err != nil {
--- a/internal/server/streamwriter.go
+++ b/internal/server/streamwriter.go
@@ -43,6 +43,12 @@
 	return w.ExtWriter.Finalize()
 }
 
+// end writes the end of the body.
+func (w *streamWriter) end() {
+	w.ended = true
+	_ = w.Finalize() //nolint:misspell // as above; fails only if the caller has disconnected
+}
+
 // unframedWriter writes a body that ends with the connection, as HTTP/1.0 has no chunks.
 type unframedWriter struct {
 	network.Writer
