--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -86,6 +86,9 @@
 		q.logAttempt(reservation, outcome, reason)
 		switch outcome {
 		case answered:
+			if q.endBody() != nil {
+				q.clientLeft()
+			}
 			q.finish(http.StatusOK, result.OK)
 			return
 		case left:
@@ -118,7 +121,7 @@
 	q.outcome = "the client closed the connection"
 	q.returnQuota()
 	q.finish(statusClientGone, result.OK)
-	panic(http.ErrAbortHandler)
+	q.breakOff(statusClientGone, result.OK)
 }
 
 // attemptAndRelease makes an attempt and releases its slot, also if the attempt panics.
--- a/internal/server/framing_test.go
+++ b/internal/server/framing_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	. "github.com/onsi/gomega"
 
 	appsvc "github.com/dogwoodrudder/dogwoodrudder/internal/app"
@@ -30,11 +29,9 @@
 	address := listener.Addr().String()
 	g.Expect(listener.Close()).To(Succeed())
 	s := New(Options{Address: address, Log: slog.New(slog.DiscardHandler), MaxBodyBytes: 1 << 10, MaxHeaderBytes: 1 << 10})
-	s.hertz.GET("/stream", func(_ context.Context, c *app.RequestContext) {
-		w := sse.NewWriter(c)
-		_ = w.WriteEvent("1", "", []byte("x"))
-		s.endStream(w, &proxy.Inflight{}, proxy.Progress{Moved: []string{"a"}})
-	})
+	s.hertz.GET("/stream", s.wrap(func(ctx context.Context, c *app.RequestContext) error {
+		return s.streamEvents(ctx, c, "r", &scriptedStream{events: twoEvents, done: true}, 0)
+	}))
 	s.hertz.GET("/problem", s.wrap(func(context.Context, *app.RequestContext) error {
 		return result.New(result.Draining, result.NotRun, "x")
 	}))
