--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,19 +10,20 @@
 
 // ciSeeds are the seeds that CI runs: two with all faults, one with planned operations
 // only, one with workers in trouble, one with workers that send malformed answers, one with
-// moves of the coordinator duty, and one with restores of the store.
+// moves of the coordinator duty, one with restores of the store, and one with workers whose
+// answers end early.
 var ciSeeds = []struct {
 	seed                     uint64
 	planned, trouble, broken bool
-	moves, restores          bool
+	moves, restores, early   bool
 	length                   time.Duration // 12 s if zero
-}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}, {seed: 2001, trouble: true}, {seed: 3001, broken: true}, {seed: 4008, moves: true}, {seed: 5021, restores: true, length: 3 * time.Second}}
+}{{seed: 1}, {seed: 1002}, {seed: 7, planned: true}, {seed: 2001, trouble: true}, {seed: 3001, broken: true}, {seed: 4008, moves: true}, {seed: 5021, restores: true, length: 3 * time.Second}, {seed: 6001, early: true}}
 
 // Guards against violated guarantees when faults hit daemons that run as processes.
 func TestSeededSoak(t *testing.T) {
 	binary, _ := buildPrograms(t)
 	for _, c := range ciSeeds {
-		o := options{Binary: binary, Length: cmp.Or(c.length, 12*time.Second), Daemons: 4, Clients: 12, Planned: c.planned, Trouble: c.trouble, Broken: c.broken, Moves: c.moves, Restores: c.restores}
+		o := options{Binary: binary, Length: cmp.Or(c.length, 12*time.Second), Daemons: 4, Clients: 12, Planned: c.planned, Trouble: c.trouble, Broken: c.broken, Moves: c.moves, Restores: c.restores, Early: c.early}
 		r, err := runSeed(o, c.seed, t.TempDir())
 		if err != nil {
 			t.Fatal(err)
