Judge an unframed reply of a service by a listener that had time to end

What callers saw: with `rudderd run`, the service is killed in a reply without a length or chunks that isn't JSON, and the part comes as a complete answer. Cause: the system ends the connections of a killed process before its listener. TestListenerThatEndsAfterTheReplyIsNoProofOfLife failed before. Fix: the service counts as alive if it also accepts a connection 5 ms later, as in crashwatch. One that refuses the first counts as gone at once.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -66,11 +66,16 @@
 	// MaxReplyBytes is the maximum size of a reply body. A larger one has the
 	// outcome Lost.
 	MaxReplyBytes int64
+	settleTime    time.Duration
 }
 
+// settleTime is how long the end of a connection may come before the end of the listener
+// when a process is killed. The system closes the connections first, one after the other.
+const settleTime = 5 * time.Millisecond
+
 // NewHTTP returns an HTTP client that makes its attempts with client.
 func NewHTTP(client *upstreamhttp.Client, maxReplyBytes int64) *HTTP {
-	return &HTTP{client: client, MaxReplyBytes: maxReplyBytes}
+	return &HTTP{client: client, MaxReplyBytes: maxReplyBytes, settleTime: settleTime}
 }
 
 // Call implements Client.
@@ -146,7 +151,20 @@
 		}
 		return nil
 	}
-	return errors.WithMessage(h.client.Connect(ctx, call.Address), "the connection ended, and the service accepts none")
+	return errors.WithMessage(h.checkAlive(ctx, call.Address), "the connection ended, and the service accepts none")
+}
+
+// checkAlive returns an error unless the service accepts connections, also after settleTime.
+func (h *HTTP) checkAlive(ctx context.Context, address string) error {
+	if err := h.client.Connect(ctx, address); err != nil {
+		return err
+	}
+	select {
+	case <-time.After(h.settleTime):
+		return h.client.Connect(ctx, address)
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
 }
 
 // isJSON reports whether the body of a reply is a JSON document.
--- a/internal/app/endofreply_test.go
+++ b/internal/app/endofreply_test.go
@@ -1,14 +1,18 @@
 package app_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
@@ -93,6 +97,36 @@
 	}
 }
 
+// A service is killed, and its listener still accepts a connection after the end of the reply.
+// Guards against taking that for a proof of life, and the part of the reply for the whole.
+func TestListenerThatEndsAfterTheReplyIsNoProofOfLife(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, replyOf(r, "text/plain", "a part", -1))
+		}
+		_ = c.Close()
+		if c, err = listener.Accept(); err == nil {
+			_ = c.Close()
+		}
+		_ = listener.Close()
+	}()
+	client := newClient(t)
+	client.SetSettleTime(500 * time.Millisecond)
+	reply, outcome, err := client.Call(t.Context(), app.Call{
+		Address: listener.Addr().String(), AttemptID: "a", Method: http.MethodGet, Path: "/", Timeout: time.Second,
+	})
+	g.Expect(outcome).To(Equal(app.Lost), "body %q", reply.Body)
+	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue(), "%v", err)
+}
+
 // Guards against taking a part of a JSON document for the whole at the end of the connection,
 // and against refusing whole replies that end with it.
 func TestEndOfTheConnectionEndsAWholeReply(t *testing.T) {
