Keep unframed replies of services that call text JSON which is no document

What callers saw: with `rudderd run`, a whole reply without a length or chunks whose content type is JSON was lost, and the outcome of an order unknown, if it holds several documents, one a line, or text such as NaN, which some encoders write. Cause: any text that isn't one valid document counted as a part of one. Evidence: TestTextThatIsNoDocumentIsJudgedAsOtherText failed before. Fix: only a text that ends within a document is a part. Another one tells nothing about its end, and is judged as text of other types: by whether the service is alive.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -3,6 +3,7 @@
 package app
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -146,10 +147,16 @@
 // the connections of a killed process in order.
 func (h *HTTP) checkWhole(ctx context.Context, resp *protocol.Response, call Call, body []byte) error {
 	if isJSON(resp) && len(body) > 0 && strings.IndexByte(`{["`, body[0]) >= 0 {
-		if !json.Valid(body) {
+		decoder := json.NewDecoder(bytes.NewReader(body))
+		var document json.RawMessage
+		first := decoder.Decode(&document)
+		next := decoder.Decode(&document) // returns first again if that is an error
+		switch {
+		case errors.Is(next, io.ErrUnexpectedEOF):
 			return errors.New("the connection ended within a JSON document")
+		case first == nil && errors.Is(next, io.EOF):
+			return nil
 		}
-		return nil
 	}
 	return errors.WithMessage(h.checkAlive(ctx, call.Address), "the connection ended, and the service accepts none")
 }
--- a/internal/app/endofreply_test.go
+++ b/internal/app/endofreply_test.go
@@ -127,6 +127,25 @@
 	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue(), "%v", err)
 }
 
+// Some services declare as JSON what is no document, or more than one. Guards against losing
+// such replies at the end of the connection although the service is alive.
+func TestTextThatIsNoDocumentIsJudgedAsOtherText(t *testing.T) {
+	for body, want := range map[string]app.Outcome{
+		`{"ratio":NaN}`:          app.Answered,
+		`{'a':1}`:                app.Answered,
+		"{\"a\":1}\n{\"a\":2}\n": app.Answered,
+		"{\"a\":1}\n":            app.Answered,
+		"{\"a\":1}\n{\"a\"":      app.Lost,
+		`{"a":tru`:               app.Lost,
+		`{"a":1,`:                app.Lost,
+		`{"a":{"b":[]}`:          app.Lost,
+		`"text`:                  app.Lost,
+	} {
+		_, outcome := callServer(t, rawreply.Whole(func(r *http.Request) string { return replyOf(r, "application/json", body, -1) }))
+		NewWithT(t).Expect(outcome).To(Equal(want), body)
+	}
+}
+
 // Guards against taking a part of a JSON document for the whole at the end of the connection,
 // and against refusing whole replies that end with it.
 func TestEndOfTheConnectionEndsAWholeReply(t *testing.T) {
