Clients over hertz refuse failures without framing during an upload

What callers saw: an instance or daemon answers a long request early with a status of 400 or more and neither a length nor chunks, and ends in that answer. The client library returned the part as the response of an order that ran, and `rudderd run` passed on a failure with an empty body as whole. Cause: when a write fails, hertz reads the reply without streaming, and takes the error that ends a body without framing for its end. It keeps replies with such a status. The tests reset the connection at once; only a write after the orderly end of the connection (EPIPE) leads there. Fix: the connection fails at the end of such a head, so that hertz returns the error of the write. A refusal (X-Refused) is still taken, since its head is whole and its body isn't used.

--- a/internal/app/endofreply_test.go
+++ b/internal/app/endofreply_test.go
@@ -146,6 +146,28 @@
 	}
 }
 
+// Guards against taking a failure without a length for a whole one with an empty body when the
+// service ends during the upload, and against losing a refusal, which needs no body.
+func TestEndDuringAnUploadIsNoEndOfAFailure(t *testing.T) {
+	body := []byte(strings.Repeat("x", 16<<20))
+	for field, want := range map[string]app.Outcome{"": app.Lost, "X-Refused: full\r\n": app.Refused} {
+		g := NewWithT(t)
+		server, err := rawreply.Start(rawreply.EndEarly(func(*http.Request) string {
+			return "HTTP/1.1 503 Service Unavailable\r\n" + field + "\r\n"
+		}))
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(server.Close)
+		client := newClient(t)
+		for range 20 {
+			reply, outcome, err := client.Call(t.Context(), app.Call{
+				Address: server.Address(), AttemptID: "a", Method: http.MethodPost, Path: "/",
+				Body: body, Timeout: 5 * time.Second,
+			})
+			g.Expect(outcome).To(Equal(want), "%s: status %d, body %q, %v", field, reply.Status, reply.Body, err)
+		}
+	}
+}
+
 // Guards against taking a part of a JSON document for the whole at the end of the connection,
 // and against refusing whole replies that end with it.
 func TestEndOfTheConnectionEndsAWholeReply(t *testing.T) {
--- a/internal/hertzconn/body.go
+++ b/internal/hertzconn/body.go
@@ -11,6 +11,10 @@
 	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
+// HeaderRefused is set in a reply by which an upstream refuses a request without
+// having executed it. Its value is the reason.
+const HeaderRefused = "X-Refused"
+
 const (
 	// headerID holds the ID of the request in a reply, if the peer returns it.
 	headerID = "X-Request-Id"
@@ -39,6 +43,8 @@
 type body struct {
 	head []byte // of the reply
 	id   string // headerID of the reply
+	// refused means that the reply has HeaderRefused, so that its body isn't needed.
+	refused bool
 	// left is the number of bytes that have not been read; -1 if the reply states no
 	// length.
 	left int64
@@ -57,6 +63,7 @@
 	}
 	_ = reply.Body.Close()
 	b.id, b.left = reply.Header.Get(headerID), reply.ContentLength
+	b.refused = reply.Header.Get(HeaderRefused) != ""
 	b.endsWithConnection = b.left < 0 && len(reply.TransferEncoding) == 0
 	return b
 }
--- a/internal/hertzconn/conn.go
+++ b/internal/hertzconn/conn.go
@@ -120,6 +120,9 @@
 			c.body = newBody(c.head)
 			unfold(c.head)
 			c.scanner = nil
+			if c.writeFailed && c.body.endsWithConnection && !c.body.refused {
+				return errors.WithStack(ErrEndsWithConnection) // hertz ignores that of the body
+			}
 		}
 	}
 	return nil
--- a/internal/upstreamhttp/client.go
+++ b/internal/upstreamhttp/client.go
@@ -27,7 +27,7 @@
 
 // HeaderRefused is set in a reply by which an upstream refuses a request without
 // having executed it. Its value is the reason.
-const HeaderRefused = "X-Refused"
+const HeaderRefused = hertzconn.HeaderRefused
 
 // RefusedLeaving is the value of HeaderRefused from an upstream that is about to
 // stop.
--- a/pkg/client/endofreply_test.go
+++ b/pkg/client/endofreply_test.go
@@ -50,3 +50,28 @@
 		}
 	}
 }
+
+// Guards against taking a part of a problem document without a length for the response of an
+// order that ran, when the connection ends while a long request is still being written.
+func TestEndDuringAnUploadIsNoEndOfAFailure(t *testing.T) {
+	server, err := rawreply.Start(rawreply.EndEarly(func(*http.Request) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nContent-Type: " + problemType + "\r\n\r\n{\"code\":1201,\"execution\":\"not run"
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	c, err := New(Options{Addresses: []string{server.Address()}, Timeout: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	for _, key := range []string{"", "token.1"} { // on a pooled connection, and on one of its own
+		for range 20 {
+			r := &Request{Method: http.MethodPost, Path: "/", Body: make([]byte, 16<<20), IdempotencyKey: key}
+			if response, err := c.transport.call(t.Context(), server.Address(), r); err == nil || !mayHaveRun(err) {
+				t.Errorf("response %+v, error %v", response, err)
+			}
+		}
+	}
+}
--- a/test/standin/rawreply/parts.go
+++ b/test/standin/rawreply/parts.go
@@ -33,3 +33,15 @@
 		_ = c.SetLinger(0)
 	}
 }
+
+// EndEarly returns a function for Start that writes the text that reply returns without
+// reading the body of the request, ends the connection in order, and then resets it, as the
+// system of a killed process does when more of the request arrives.
+func EndEarly(reply func(r *http.Request) string) func(*net.TCPConn, *http.Request) {
+	return func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, reply(r))
+		_ = c.CloseWrite()
+		time.Sleep(pause)
+		_ = c.SetLinger(0)
+	}
+}
