Client library: don't take a second copy for the response to the next request

What callers saw: if a daemon, or a proxy before it, sends a response again after the client has read it, the next idempotent request on that pooled connection returned the copy: a response that wasn't its own. Orders have connections of their own. Cause: the client didn't compare the request ID that daemons return. hertz returns a connection to the pool at the end of a body, and reads what arrives later as the next reply. internal/hertzconn finds copies within a body only. Fix: a reply that states the ID of another request is an error, and its connection is closed, so that the request is tried again. Replies without an ID, and to requests whose ID daemons replace, are taken as before.

--- a/pkg/client/transport.go
+++ b/pkg/client/transport.go
@@ -104,7 +104,14 @@
 	}()
 	select {
 	case o := <-done:
-		return o.raw, errors.Wrapf(o.err, "request to %s", address)
+		if o.err != nil {
+			return nil, errors.Wrapf(o.err, "request to %s", address)
+		}
+		if !isReplyTo(r, o.raw) {
+			forceClose(o.raw)
+			return nil, errors.Errorf("request to %s: the reply belongs to another request", address)
+		}
+		return o.raw, nil
 	case <-ctx.Done():
 		go func() {
 			if o := <-done; o.err == nil {
@@ -115,6 +122,16 @@
 	}
 }
 
+// maxRequestIDBytes is the maximum length of a request ID that daemons don't replace.
+const maxRequestIDBytes = 128
+
+// isReplyTo reports whether the reply states the ID of r, or none. A pooled connection may
+// hold a second copy of the reply to an earlier request.
+func isReplyTo(r *Request, raw *protocol.Response) bool {
+	id, want := strings.TrimSpace(raw.Header.Get(headerRequestID)), strings.TrimSpace(r.RequestID)
+	return id == want || id == "" || want == "" || len(want) > maxRequestIDBytes
+}
+
 func (t *transport) build(ctx context.Context, address string, r *Request) *protocol.Request {
 	request := &protocol.Request{}
 	request.SetRequestURI("http://" + address + r.Path)
