--- a/internal/app/endofreply_test.go
+++ b/internal/app/endofreply_test.go
@@ -1,14 +1,18 @@
 package app_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/app"
 	"github.com/dogwoodrudder/dogwoodrudder/test/standin/rawreply"
@@ -93,6 +97,77 @@
 	}
 }
 
+// A service is killed, and its listener still accepts a connection after the end of the reply.
+// Guards against taking that for a proof of life, and the part of the reply for the whole.
+func TestListenerThatEndsAfterTheReplyIsNoProofOfLife(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, replyOf(r, "text/plain", "a part", -1))
+		}
+		_ = c.Close()
+		if c, err = listener.Accept(); err == nil {
+			_ = c.Close()
+		}
+		_ = listener.Close()
+	}()
+	client := newClient(t)
+	client.SetSettleTime(500 * time.Millisecond)
+	reply, outcome, err := client.Call(t.Context(), app.Call{
+		Address: listener.Addr().String(), AttemptID: "a", Method: http.MethodGet, Path: "/", Timeout: time.Second,
+	})
+	g.Expect(outcome).To(Equal(app.Lost), "body %q", reply.Body)
+	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue(), "%v", err)
+}
+
+// Some services declare as JSON what is no document, or more than one. Guards against losing
+// such replies at the end of the connection although the service is alive.
+func TestTextThatIsNoDocumentIsJudgedAsOtherText(t *testing.T) {
+	for body, want := range map[string]app.Outcome{
+		`{"ratio":NaN}`:          app.Answered,
+		`{'a':1}`:                app.Answered,
+		"{\"a\":1}\n{\"a\":2}\n": app.Answered,
+		"{\"a\":1}\n":            app.Answered,
+		"{\"a\":1}\n{\"a\"":      app.Lost,
+		`{"a":tru`:               app.Lost,
+		`{"a":1,`:                app.Lost,
+		`{"a":{"b":[]}`:          app.Lost,
+		`"text`:                  app.Lost,
+	} {
+		_, outcome := callServer(t, rawreply.Whole(func(r *http.Request) string { return replyOf(r, "application/json", body, -1) }))
+		NewWithT(t).Expect(outcome).To(Equal(want), body)
+	}
+}
+
+// Guards against taking a failure without a length for a whole one with an empty body when the
+// service ends during the upload, and against losing a refusal, which needs no body.
+func TestEndDuringAnUploadIsNoEndOfAFailure(t *testing.T) {
+	body := []byte(strings.Repeat("x", 16<<20))
+	for field, want := range map[string]app.Outcome{"": app.Lost, "X-Refused: full\r\n": app.Refused} {
+		g := NewWithT(t)
+		server, err := rawreply.Start(rawreply.EndEarly(func(*http.Request) string {
+			return "HTTP/1.1 503 Service Unavailable\r\n" + field + "\r\n"
+		}))
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(server.Close)
+		client := newClient(t)
+		for range 20 {
+			reply, outcome, err := client.Call(t.Context(), app.Call{
+				Address: server.Address(), AttemptID: "a", Method: http.MethodPost, Path: "/",
+				Body: body, Timeout: 5 * time.Second,
+			})
+			g.Expect(outcome).To(Equal(want), "%s: status %d, body %q, %v", field, reply.Status, reply.Body, err)
+		}
+	}
+}
+
 // Guards against taking a part of a JSON document for the whole at the end of the connection,
 // and against refusing whole replies that end with it.
 func TestEndOfTheConnectionEndsAWholeReply(t *testing.T) {
