Let the test of cut heads pass its cut to the instance without a race

The goroutine of the instance read the variable that the test sets for the next request. The variable is atomic now; what the test sends and expects is the same.

--- a/internal/exchange/cuthead_test.go
+++ b/internal/exchange/cuthead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -25,22 +26,23 @@
 		for _, reset := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
 				g := NewWithT(t)
-				cut := 0
+				var cut atomic.Int64 // length of the part that is sent
 				peer := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
 					if _, err := readRequest(r); err != nil {
 						return
 					}
-					_, _ = io.WriteString(c, reply[:cut])
+					_, _ = io.WriteString(c, reply[:cut.Load()])
 					if reset {
 						_ = c.(*net.TCPConn).SetLinger(0)
 					}
 				})
-				for cut = range len(reply) {
+				for end := range len(reply) {
+					cut.Store(int64(end))
 					body, err := exchangeBody(t.Context(), newPool(), peer, newRequest("r", "x"))
-					g.Expect(err).To(HaveOccurred(), "%q gave the body %q", reply[:cut], body)
+					g.Expect(err).To(HaveOccurred(), "%q gave the body %q", reply[:end], body)
 				}
 				// A whole head and no body.
-				cut = len(reply)
+				cut.Store(int64(len(reply)))
 				if !strings.Contains(name, "without length") {
 					_, err := exchangeBody(t.Context(), newPool(), peer, newRequest("r", "x"))
 					g.Expect(err).To(HaveOccurred())
