Find other replies in the bodies of instances that send line feeds alone

What callers saw: a 200 with its full length whose last bytes are the start of another reply; without a length, a body that is followed by the whole second copy. Cause: heads whose lines end with a line feed alone are accepted (replyconn, net/http), but the search within bodies knew only lines with a carriage return. So a second or late reply of such an instance counted as text, and a count of bytes, or the end of the connection, as the end of the body. TestBodyIsNotFilledWithAReplyOfLineFeeds fails before in all three parts, and passes now. Why it works: an instance writes its heads alike. Where the head of the reply itself has a bare line feed, lines of other heads may end so too; in all other bodies they stay text, as before ("status line in a text").

--- a/internal/exchange/embedded.go
+++ b/internal/exchange/embedded.go
@@ -47,6 +47,9 @@
 	id      string
 	earlier []string
 	matches func(h http.Header, id string, reused bool) bool
+	// lineFeeds reports that lines of a head may end without a carriage return, as in the head
+	// of this reply. Otherwise such lines are text.
+	lineFeeds bool
 	// surplus returns the bytes after the body that have arrived: more than count of them,
 	// unless no more arrive until the deadline. It is nil if the body has no length.
 	surplus  func(count int, deadline time.Time) []byte
@@ -102,7 +105,7 @@
 			break
 		}
 		start += body
-		head, known, malformed := replyHead(e.pending[start:])
+		head, known, malformed := e.replyHead(e.pending[start:])
 		if !known && e.err == nil {
 			body = start
 			break
@@ -112,7 +115,7 @@
 			e.err = errFilledBody
 			return
 		}
-		if !known && !malformed && e.endsWithConnection && bytes.Contains(e.pending[start:], []byte("\r\n")) {
+		if !known && !malformed && e.endsWithConnection && e.hasLine(e.pending[start:]) {
 			e.release(start)
 			e.err = errRepeatedReply // cut within its head
 			return
@@ -153,7 +156,7 @@
 		if len(filler) < statusLineLen && len(text) >= statusLineLen {
 			return true
 		}
-		head, known, malformed := replyHead(text)
+		head, known, malformed := e.replyHead(text)
 		if _, found := e.identify(head); found || head == nil {
 			return found
 		}
@@ -248,7 +251,7 @@
 // start of a reply. known is false if more data is needed to tell. Then the headers are
 // those that are complete. malformed tells that a line is no header, as in the head of a
 // broken reply or in a text.
-func replyHead(data []byte) (head http.Header, known, malformed bool) {
+func (e *embeddedReplies) replyHead(data []byte) (head http.Header, known, malformed bool) {
 	head = http.Header{}
 	for first := true; ; first = false {
 		end := bytes.IndexByte(data, '\n')
@@ -258,10 +261,10 @@
 			}
 			return head, len(data) > maxHeadBytes, malformed
 		}
-		if end == 0 || data[end-1] != '\r' {
+		line, found := bytes.CutSuffix(data[:end], []byte("\r"))
+		if !found && !e.lineFeeds {
 			return nil, true, false
 		}
-		line := data[:end-1]
 		data = data[end+1:]
 		if first {
 			if len(line) < statusLineLen || !replyconn.StatusLineStart(line) {
@@ -281,6 +284,15 @@
 	}
 }
 
+// hasLine reports whether data contains a whole line of a head.
+func (e *embeddedReplies) hasLine(data []byte) bool {
+	end := "\r\n"
+	if e.lineFeeds {
+		end = "\n"
+	}
+	return bytes.Contains(data, []byte(end))
+}
+
 // remember adds the ID of a request that the connection has carried.
 func (c *conn) remember(id string) {
 	if id == "" {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -181,7 +181,7 @@
 	}
 	body := &embeddedReplies{
 		source: r.response.Body, endsWithConnection: !r.Framed(), method: request.Method,
-		id: request.ID, earlier: earlier, matches: request.Matches,
+		id: request.ID, earlier: earlier, matches: request.Matches, lineFeeds: r.conn.LineFeeds(),
 	}
 	if r.Length >= 0 {
 		body.surplus = r.conn.surplus
--- a/internal/exchange/filledbody_test.go
+++ b/internal/exchange/filledbody_test.go
@@ -80,6 +80,65 @@
 	}
 }
 
+// withLineFeeds returns a reply whose head has line feeds without carriage returns.
+func withLineFeeds(reply string) string {
+	head, body, _ := strings.Cut(reply, "\r\n\r\n")
+	return strings.ReplaceAll(head, "\r\n", "\n") + "\n\n" + body
+}
+
+// An instance that ends the lines of its heads with line feeds alone leaves out the end of a
+// body and replies once more, late. Guards against a body that ends with the start of the other
+// reply, or with all of it, since its head isn't recognised.
+func TestBodyIsNotFilledWithAReplyOfLineFeeds(t *testing.T) {
+	const maxMissing = 130
+	body := strings.Repeat("b", maxMissing)
+	for name, id := range map[string]string{"second copy": "r2", "late reply": "r1"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sent, other := withLineFeeds(sealedReply("r2", body, false)), withLineFeeds(sealedReply(id, body, false))
+			taken := make([]string, maxMissing+1)
+			var tries sync.WaitGroup
+			for missing := 1; missing <= maxMissing; missing++ {
+				tries.Go(func() {
+					if got, err := stutter(t, sent[:len(sent)-missing], other); err == nil {
+						taken[missing] = got
+					}
+				})
+			}
+			tries.Wait()
+			g.Expect(taken).To(HaveEach(""), "bodies that were taken for whole")
+		})
+	}
+	t.Run("without length", func(t *testing.T) {
+		g := NewWithT(t)
+		head := withLineFeeds(unframedHead)
+		for text, want := range map[string]string{
+			head + "body" + head + "body":                           "body",
+			head + "bo" + head + "body":                             "",
+			head + "body" + "HTTP/1.1 200 OK\nX-Re":                 "",
+			head + "body" + withLineFeeds(replyText("r1", "first")): "",
+		} {
+			peer := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				for _, text := range []string{replyText("r1", "first"), text} {
+					if _, err := readRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, text)
+				}
+			})
+			p := newPool()
+			g.Expect(exchangeBody(t.Context(), p, peer, newRequest("r1", "x"))).To(Equal("first"))
+			got, err := exchangeBody(t.Context(), p, peer, newRequest("r2", "x"))
+			if want == "" {
+				g.Expect(err).To(HaveOccurred(), "%q gave the body %q", text, got)
+				continue
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got).To(Equal(want))
+		}
+	})
+}
+
 // Guards against filling a body if the rest of the other reply's head comes in several
 // segments, or is cut or malformed.
 func TestBodyIsNotFilledWithAPartOfAReply(t *testing.T) {
--- a/internal/replyconn/head.go
+++ b/internal/replyconn/head.go
@@ -41,6 +41,8 @@
 	length  string // value of its Content-Length, "" if there is none
 	interim int    // interim replies, the current one included
 	ended   bool   // the last byte was the end of a head
+	// lineFeeds reports that a line of the current head ended without a carriage return.
+	lineFeeds bool
 }
 
 // NewHeadScanner returns a scanner for the replies to a request.
@@ -84,7 +86,8 @@
 
 // endLine checks a line without its line feed.
 func (s *HeadScanner) endLine(line []byte) error {
-	line = bytes.TrimSuffix(line, []byte("\r"))
+	line, found := bytes.CutSuffix(line, []byte("\r"))
+	s.lineFeeds = s.lineFeeds || !found
 	if s.lines > 0 && len(line) == 0 {
 		s.ended = true
 		return nil
--- a/internal/replyconn/replyconn.go
+++ b/internal/replyconn/replyconn.go
@@ -27,6 +27,9 @@
 	limits  Limits
 	reading sync.Mutex
 	scanner *HeadScanner // nil if no head is expected; guarded by reading
+	// lineFeeds reports that a line of the last head ended without a carriage return; guarded
+	// by reading.
+	lineFeeds bool
 }
 
 // New returns a Conn that uses c. Heads of replies are within the limits.
@@ -51,12 +54,21 @@
 		}
 		data = data[n:]
 		if ended && !c.scanner.Interim() {
+			c.lineFeeds = c.scanner.lineFeeds
 			c.scanner = nil
 		}
 	}
 	return nil
 }
 
+// LineFeeds reports whether a line of the last final head ended without a carriage return. The
+// peer probably ends those of its other heads so too.
+func (c *Conn) LineFeeds() bool {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.lineFeeds
+}
+
 // Write implements net.Conn. Each call waits until an earlier one has returned.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.writing.Lock()
