Take no connection for life that only the system has accepted

What callers saw: a part of an answer without framing as complete, if its instance was killed on a busy machine. Cause: 5 ms after the end of a reply, a connection that the instance's listener accepted counted as life. The system ends the connections of a killed process before its listener, and the process may lose its processor in between. Fix: the daemon ends its side of the connection. Only a running process accepts it and ends the other side; the system resets what no process has accepted. A reset connection is no answer, so the daemon connects again. For processes that leave connections open, and through other daemons, the second connection after 5 ms decides as before. Sound replies wait for a round trip instead of 5 ms. A crash that is found at once still waits 5 ms for the breaks of other requests.

TestListenerThatOutlivesAReplyIsNoProof replaces ...OutlivesAReplyShortly...: its instance accepted connections while it was to be dying, which a killed process can't do. Now it doesn't, and the listener lives 30 ms longer than the reply, not 1 ms.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -43,6 +43,10 @@
 	// Connect returns an error if the instance at address accepts no connection. One that
 	// wraps exchange.ErrLinksLost tells nothing about the instance.
 	Connect func(ctx context.Context, address string) error
+	// Alive is Connect that also reports whether the process of the instance is proved to
+	// run. Without a proof, the connection may have been accepted by its system alone. The
+	// error wraps exchange.ErrReset if it was reset.
+	Alive func(ctx context.Context, address string) (proved bool, err error)
 	// Serving reports whether the instance is expected to serve. One that announced its
 	// end doesn't crash.
 	Serving func(fleet.Description) bool
@@ -88,6 +92,7 @@
 	requests []crashguard.Request // not yet passed to the Guard
 	done     chan struct{}        // closed when the reason is known
 	reason   Reason               // valid when done is closed
+	ofEnd    bool                 // by investigateEnd; valid when done is closed
 	err      error                // of Connect; valid when done is closed
 }
 
@@ -176,7 +181,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i := w.examine(subject{incarnation: incarnationOf(instance)}, 0, func(i *Investigation) { w.investigateAgain(instance, i) })
+	crashed := func(i *Investigation) bool { return i.reason == Crashed }
+	i := w.examine(subject{incarnation: incarnationOf(instance)}, crashed, func(i *Investigation) { w.investigateAgain(instance, i) })
 	switch {
 	case i == unexamined:
 	case i.isDone():
@@ -202,10 +208,9 @@
 	}
 }
 
-// examine returns the investigation of a subject: the one in progress, the one that found it
-// crashed at since or later, or a new one, which it carries out by find. The caller holds
-// the lock.
-func (w *Watch) examine(s subject, since time.Duration, find func(*Investigation)) *Investigation {
+// examine returns the investigation of a subject: the one in progress, the last one if it has
+// ended and tells enough, or a new one, which it carries out by find. The caller holds the lock.
+func (w *Watch) examine(s subject, tellsEnough func(*Investigation) bool, find func(*Investigation)) *Investigation {
 	now := w.config.Now()
 	for other, i := range w.investigations {
 		if now-i.began > crashRetention {
@@ -213,7 +218,7 @@
 		}
 	}
 	i := w.investigations[s]
-	if i != nil && (!i.isDone() || i.reason == Crashed && i.began >= since) {
+	if i != nil && (!i.isDone() || tellsEnough(i)) {
 		return i
 	}
 	if i == nil && len(w.investigations) >= maxInvestigations {
--- a/internal/crashwatch/verdict_test.go
+++ b/internal/crashwatch/verdict_test.go
@@ -23,6 +23,7 @@
 	connects atomic.Int64
 	instance fleet.Description
 	onCrash  func()
+	unproved bool // Alive gives no proof
 }
 
 // newWatched returns a Watch. connect gets the number of the attempt, from 1; serving the
@@ -37,6 +38,10 @@
 			Now: now, Daemons: func() int { return 1 }, OnChange: func(string, bool, int, []string) {},
 		}),
 		Connect: func(ctx context.Context, _ string) error { return connect(ctx, w.connects.Add(1)) },
+		Alive: func(ctx context.Context, _ string) (bool, error) {
+			err := connect(ctx, w.connects.Add(1))
+			return err == nil && !w.unproved, err
+		},
 		Serving: func(fleet.Description) bool { return serving(questions.Add(1)) },
 		OnCrash: func(fleet.Description, error) { w.onCrash() },
 	})
@@ -185,3 +190,67 @@
 	}
 	g.Expect(w.connects.Load()).To(BeNumerically("<=", 20))
 }
+
+// The listener of a killed process accepts a connection after the end of a reply, and ends
+// later. Guards against taking that for life, and against refusing the replies of an instance
+// whose process leaves connections open.
+func TestAcceptedConnectionIsNoProofOfLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		then error
+		want crashwatch.Verdict
+	}{"ended": {refused(), crashwatch.Refuted}, "accepts": {nil, crashwatch.Whole}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWatched(func(_ context.Context, attempt int64) error {
+				if attempt == 1 {
+					return nil
+				}
+				return c.then
+			}, always)
+			w.unproved = true
+			verdict, _ := w.Ended(t.Context(), w.instance, 0)
+			g.Expect(verdict).To(Equal(c.want))
+			g.Expect(w.connects.Load()).To(BeEquivalentTo(2))
+		})
+	}
+}
+
+// Guards against taking a connection that is reset because its listener ends for a crash or for
+// life before the next one tells, and against taking an instance that resets them for crashed.
+func TestResetConnectionIsNoProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		then     error
+		want     crashwatch.Verdict
+		connects int
+	}{"ended": {refused(), crashwatch.Refuted, 2}, "alive": {nil, crashwatch.Whole, 2}, "resets all": {exchange.ErrReset, crashwatch.Whole, 3}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWatched(func(_ context.Context, attempt int64) error {
+				if attempt == 1 {
+					return errors.Wrap(exchange.ErrReset, "connect")
+				}
+				return c.then
+			}, always)
+			w.onCrash = func() { g.Expect(c.want).To(Equal(crashwatch.Refuted)) }
+			verdict, _ := w.Ended(t.Context(), w.instance, 0)
+			g.Expect(verdict).To(Equal(c.want))
+			g.Expect(w.connects.Load()).To(BeEquivalentTo(c.connects))
+		})
+	}
+}
+
+// Another request broke off at an instance after the end of a reply. Guards against taking the
+// connection that its investigation made at once for a proof of life.
+func TestInvestigationOfABreakIsNoProofOfLife(t *testing.T) {
+	g := NewWithT(t)
+	w := newWatched(func(_ context.Context, attempt int64) error {
+		if attempt <= 2 { // of the break
+			return nil
+		}
+		return refused()
+	}, always)
+	w.Broke(w.instance, crashguard.Request{Parts: []string{"a"}})
+	verdict, _ := w.Ended(t.Context(), w.instance, 0)
+	g.Expect(verdict).To(Equal(crashwatch.Refuted))
+	g.Expect(w.connects.Load()).To(BeEquivalentTo(3))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -292,7 +292,7 @@
 	pool := d.buildPool()
 	d.instances.OnRemove = pool.CloseIdle
 	d.crashWatch = crashwatch.New(crashwatch.Config{
-		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Serving: d.instances.Serving,
+		Log: d.log, Now: bootclock.Now, Connect: pool.Reachable, Alive: pool.Alive, Serving: d.instances.Serving,
 		Guard: d.crashGuard, OnCrash: d.instanceCrashed,
 	})
 	d.requestMemory, d.replyMemory = memoryBudget(s, requestMemoryShare), memoryBudget(s, replyMemoryShare)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -44,6 +44,10 @@
 // the upstream wasn't running. It wraps ErrNotSent.
 var ErrRefused = errors.WithMessage(ErrNotSent, "connection refused")
 
+// ErrReset is returned when a new connection was reset: by an upstream that accepts no more,
+// or because the listener that had accepted it has ended. It wraps ErrNotSent.
+var ErrReset = errors.WithMessage(ErrNotSent, "new connection reset")
+
 // conn is a connection to one instance.
 type conn struct {
 	*replyconn.Conn
@@ -77,6 +81,9 @@
 	if errors.Is(err, unix.ECONNREFUSED) {
 		return nil, errors.Wrapf(ErrRefused, "connect: %v", err)
 	}
+	if errors.Is(err, unix.ECONNRESET) {
+		return nil, errors.Wrapf(ErrReset, "connect: %v", err)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect: %v", err)
 	}
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
 // ErrLinksLost is returned when this daemon has lost its links to all instances and no other
@@ -149,3 +151,19 @@
 	}
 	return errors.Wrap(c.Close(), "close connection")
 }
+
+// Alive is Reachable that also reports whether the process of the instance is proved to run
+// (replyconn.Alive). Through another daemon it isn't. The error wraps ErrReset if the
+// connection was reset.
+func (p *Pool) Alive(ctx context.Context, address string) (proved bool, err error) {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = c.Close() }()
+	proved, err = replyconn.Alive(c.Conn.Conn)
+	if err != nil {
+		return false, errors.Wrapf(ErrReset, "%v", err)
+	}
+	return proved, nil
+}
--- a/internal/relay/killed_test.go
+++ b/internal/relay/killed_test.go
@@ -252,21 +252,17 @@
 	}
 }
 
-// An instance's connections end shortly before its listener does. Guards against taking the
-// instance for alive in between, and against refused replies that no metric shows.
-func TestListenerThatOutlivesAReplyShortlyIsNoProof(t *testing.T) {
+// The connections of a killed process end before its listener does, which accepts connections
+// in between that the process doesn't see. Guards against taking the instance for alive, and
+// against refused replies that no metric shows.
+func TestListenerThatOutlivesAReplyIsNoProof(t *testing.T) {
 	for _, path := range []string{"/order/1", "/order/long", "/order/unknown", "/lookup/long", "/report/1"} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			g := NewWithT(t)
 			refuted := metrics.GetOrCreateCounter(`rudder_relay_unframed_replies_total{verdict="refuted"}`)
 			before := refuted.Get()
 			s := newFixture(t)
-			s.endingInstance(strings.Split(path, "/")[1], func(c *net.TCPConn, r *http.Request, closeListener func()) {
-				writePart(c, r)
-				_ = c.Close()
-				time.Sleep(time.Millisecond)
-				closeListener()
-			})
+			s.dyingInstance(strings.Split(path, "/")[1])
 			a := s.send(t.Context(), path, nil)
 			g.Expect(a.err != nil || a.status == http.StatusBadGateway).To(BeTrue(), "status %d, %d bytes", a.status, len(a.body))
 			g.Expect(refuted.Get() - before).To(BeEquivalentTo(1))
@@ -274,6 +270,30 @@
 	}
 }
 
+// dyingInstance announces an instance "w1" that ends in its first reply like a killed process
+// that loses its processor for a while.
+func (s *fixture) dyingInstance(service string) {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			writePart(c.(*net.TCPConn), r)
+		}
+		_ = c.Close()
+		time.Sleep(3 * settledAfter)
+		_ = listener.Close()
+	}()
+	s.set.Put(fleet.Description{ID: "w1", Service: service, Address: listener.Addr().String(), DataCentre: "dc", Slots: 8})
+}
+
 // endingInstance announces an instance "w1" that can close its listener while it serves.
 func (s *fixture) endingInstance(service string, serve func(c *net.TCPConn, r *http.Request, closeListener func())) {
 	s.t.Helper()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -129,7 +129,7 @@
 	handler := relay.New(relay.Options{
 		Clock: clock, Log: log, Headers: platform.Headers{}, Configuration: s, Instances: s.set, Pool: pool,
 		Crashes: crashwatch.New(crashwatch.Config{
-			Log: log, Now: bootclock.Now, Connect: pool.Reachable, Serving: s.set.Serving, Guard: s.guard,
+			Log: log, Now: bootclock.Now, Connect: pool.Reachable, Alive: pool.Alive, Serving: s.set.Serving, Guard: s.guard,
 		}),
 		Quota: quota{s}, Meter: s, RetryBudget: s, Versions: s, Demand: s, MaxKeyAge: 4500 * time.Millisecond,
 		DaemonCount: func() int { return 1 }, LoadShare: func() float64 { return 1 },
