rudderd run: take no connection for life that only the system has accepted

The test's service accepted the connection itself while it was to be dying, and closed it, which only a running process can do.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -67,7 +67,6 @@
 	// MaxReplyBytes is the maximum size of a reply body. A larger one has the
 	// outcome Lost.
 	MaxReplyBytes int64
-	settleTime    time.Duration
 }
 
 // settleTime is how long the end of a connection may come before the end of the listener
@@ -76,7 +75,7 @@
 
 // NewHTTP returns an HTTP client that makes its attempts with client.
 func NewHTTP(client *upstreamhttp.Client, maxReplyBytes int64) *HTTP {
-	return &HTTP{client: client, MaxReplyBytes: maxReplyBytes, settleTime: settleTime}
+	return &HTTP{client: client, MaxReplyBytes: maxReplyBytes}
 }
 
 // Call implements Client.
@@ -161,13 +160,14 @@
 	return errors.WithMessage(h.checkAlive(ctx, call.Address), "the connection ended, and the service accepts none")
 }
 
-// checkAlive returns an error unless the service accepts connections, also after settleTime.
+// checkAlive returns an error unless the service is proved to run, or accepts connections also
+// after settleTime.
 func (h *HTTP) checkAlive(ctx context.Context, address string) error {
-	if err := h.client.Connect(ctx, address); err != nil {
+	if proved, err := h.client.Alive(ctx, address); err != nil || proved {
 		return err
 	}
 	select {
-	case <-time.After(h.settleTime):
+	case <-time.After(settleTime):
 		return h.client.Connect(ctx, address)
 	case <-ctx.Done():
 		return errors.WithStack(ctx.Err())
--- a/internal/app/endofreply_test.go
+++ b/internal/app/endofreply_test.go
@@ -97,8 +97,9 @@
 	}
 }
 
-// A service is killed, and its listener still accepts a connection after the end of the reply.
-// Guards against taking that for a proof of life, and the part of the reply for the whole.
+// A service is killed, and its listener still accepts connections after the end of the reply,
+// which the process doesn't see. Guards against taking that for a proof of life, and the part of
+// the reply for the whole.
 func TestListenerThatEndsAfterTheReplyIsNoProofOfLife(t *testing.T) {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -113,13 +114,10 @@
 			_, _ = io.WriteString(c, replyOf(r, "text/plain", "a part", -1))
 		}
 		_ = c.Close()
-		if c, err = listener.Accept(); err == nil {
-			_ = c.Close()
-		}
+		time.Sleep(50 * time.Millisecond)
 		_ = listener.Close()
 	}()
 	client := newClient(t)
-	client.SetSettleTime(500 * time.Millisecond)
 	reply, outcome, err := client.Call(t.Context(), app.Call{
 		Address: listener.Addr().String(), AttemptID: "a", Method: http.MethodGet, Path: "/", Timeout: time.Second,
 	})
--- a/internal/upstreamhttp/client.go
+++ b/internal/upstreamhttp/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -15,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dogwoodrudder/dogwoodrudder/internal/hertzconn"
+	"github.com/dogwoodrudder/dogwoodrudder/internal/replyconn"
 )
 
 // ErrNotConnected means that no connection was established, so that no byte of
@@ -68,6 +70,20 @@
 	return nil
 }
 
+// Alive is Connect that also reports whether the process of the upstream is proved to run
+// (replyconn.Alive). A connection that was reset is no proof, and no error.
+func (c *Client) Alive(ctx context.Context, address string) (proved bool, err error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+		proved, err = replyconn.Alive(conn)
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		return false, nil
+	}
+	return proved, errors.WithStack(err)
+}
+
 // Do sends req and reads the header of the reply; the body is a stream that
 // the caller must close. readTimeout bounds the wait for the header and then
 // each read of the body. The error wraps ErrNotConnected if no byte was sent. Reads of a body
